--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3.11
+VENV := .venv
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo test format lint check generate archive
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --editable .
+	touch $(STAMP)
+
+demo: setup
+	$(VENV)/bin/basilwick demo
+
+test: setup
+	$(VENV)/bin/pytest
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+check: test lint
+
+# Regenerates the committed protobuf modules; needed only after messages.proto changes.
+generate: setup
+	$(VENV)/bin/python -m grpc_tools.protoc --proto_path=. --python_out=. \
+		--grpclib_python_out=. \
+		--plugin=protoc-gen-grpclib_python=$(VENV)/bin/protoc-gen-grpclib_python \
+		basilwick/transport/messages.proto
+
+# One file that holds the program and its libraries; needs a Python 3.11 interpreter.
+archive: setup
+	mkdir -p dist
+	$(VENV)/bin/shiv --quiet --console-script basilwick --output-file dist/basilwick .
--- /dev/null
+++ b/basilwick/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/basilwick/cli/process.py
@@ -0,0 +1,32 @@
+"""Runs a service until a signal asks it to stop."""
+
+from __future__ import annotations
+
+import asyncio
+from signal import SIGINT, SIGTERM
+from typing import Protocol
+
+__all__ = ["Service", "run_until_signal"]
+
+
+class Service(Protocol):
+    """Something that is started and closed explicitly."""
+
+    async def start(self) -> None:
+        """Acquire resources."""
+
+    async def close(self) -> None:
+        """Release resources."""
+
+
+async def run_until_signal(service: Service) -> None:
+    """Start a service, wait for SIGTERM or SIGINT, then close it."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal in (SIGTERM, SIGINT):
+        loop.add_signal_handler(signal, stopped.set)
+    await service.start()
+    try:
+        await stopped.wait()
+    finally:
+        await service.close()
--- /dev/null
+++ b/basilwick/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: they take messages, a clock reading and a generator."""
--- /dev/null
+++ b/basilwick/core/errors.py
@@ -0,0 +1,174 @@
+"""Errors and refusals; each names what the reader can do about it."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from attrs import define, frozen
+
+__all__ = [
+    "BasilwickError",
+    "ConflictError",
+    "ErrorKind",
+    "InvalidRecordError",
+    "Outcome",
+    "PlatformUnavailableError",
+    "Refusal",
+    "refuse",
+]
+
+
+class Outcome(StrEnum):
+    """Whether the operation of a refused request ran."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(StrEnum):
+    """Machine-readable kind of a refusal."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_MISMATCH = "body_mismatch"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_SERVICE = "unknown_service"
+    TOO_LARGE = "too_large"
+    OVERLOADED = "overloaded"
+    NO_OWNER = "no_owner"
+    NO_PERMISSION = "no_permission"
+    CUT_OFF = "cut_off"
+    SHUTTING_DOWN = "shutting_down"
+    SERVER_REFUSED = "server_refused"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    CONNECTION_LOST = "connection_lost"
+    TOKEN_SUPERSEDED = "token_superseded"
+    TOKEN_EVICTED = "token_evicted"
+    TOKEN_INVALID = "token_invalid"
+
+
+@define
+class _KindTraits:
+    status: int
+    outcome: Outcome
+    remedy: str
+
+
+_TRAITS = {
+    ErrorKind.BAD_REQUEST: _KindTraits(
+        400, Outcome.NOT_RUN, "correct the request as the message says"
+    ),
+    ErrorKind.BODY_MISMATCH: _KindTraits(
+        400, Outcome.NOT_RUN, "send the whole body with its length and digest"
+    ),
+    ErrorKind.UNAUTHORIZED: _KindTraits(
+        401, Outcome.NOT_RUN, "present the shared key of this interface"
+    ),
+    ErrorKind.UNKNOWN_SERVICE: _KindTraits(
+        404, Outcome.NOT_RUN, "check the service name, or put a service record"
+    ),
+    ErrorKind.TOO_LARGE: _KindTraits(
+        413, Outcome.NOT_RUN, "shorten the key, the headers or the body"
+    ),
+    ErrorKind.OVERLOADED: _KindTraits(
+        429, Outcome.NOT_RUN, "retry after the given time"
+    ),
+    ErrorKind.NO_OWNER: _KindTraits(
+        503, Outcome.NOT_RUN, "retry; the key is being assigned to another server"
+    ),
+    ErrorKind.NO_PERMISSION: _KindTraits(
+        503, Outcome.NOT_RUN, "retry at another instance of the same data centre"
+    ),
+    ErrorKind.CUT_OFF: _KindTraits(
+        503, Outcome.NOT_RUN, "retry in the data centre that the message names"
+    ),
+    ErrorKind.SHUTTING_DOWN: _KindTraits(
+        503, Outcome.NOT_RUN, "retry at another instance"
+    ),
+    ErrorKind.SERVER_REFUSED: _KindTraits(
+        503, Outcome.NOT_RUN, "retry after the given time"
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: _KindTraits(
+        504, Outcome.NOT_RUN, "retry with a later deadline"
+    ),
+    ErrorKind.CONNECTION_LOST: _KindTraits(
+        502, Outcome.UNKNOWN, "check whether the operation ran before repeating it"
+    ),
+    ErrorKind.TOKEN_SUPERSEDED: _KindTraits(
+        409, Outcome.UNKNOWN, "check whether the operation ran, then get a new token"
+    ),
+    ErrorKind.TOKEN_EVICTED: _KindTraits(
+        409, Outcome.UNKNOWN, "check whether the operation ran, then get a new token"
+    ),
+    ErrorKind.TOKEN_INVALID: _KindTraits(
+        400, Outcome.NOT_RUN, "get a token from /tokens/{service}/{key}"
+    ),
+}
+
+
+@frozen
+class Refusal:
+    """A request that got no answer from its backend server, with the reason.
+
+    Attributes
+    ----------
+    kind : ErrorKind
+        Machine-readable kind.
+    outcome : Outcome
+        Whether the operation ran.
+    message : str
+        What happened, with the offending value.
+    retry_after_s : float or None
+        Time in seconds after which a retry can succeed.
+    """
+
+    kind: ErrorKind
+    outcome: Outcome
+    message: str
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status code of the refusal."""
+        return _TRAITS[self.kind].status
+
+    @property
+    def remedy(self) -> str:
+        """What the caller can do."""
+        return _TRAITS[self.kind].remedy
+
+
+def refuse(
+    kind: ErrorKind,
+    message: str,
+    *,
+    outcome: Outcome | None = None,
+    retry_after_s: float | None = None,
+) -> Refusal:
+    """Build a refusal with the usual outcome of its kind unless one is given."""
+    return Refusal(kind, outcome or _TRAITS[kind].outcome, message, retry_after_s)
+
+
+class BasilwickError(Exception):
+    """Base class of the errors raised by this package."""
+
+
+class PlatformUnavailableError(BasilwickError):
+    """The platform's key-value service gave no usable answer."""
+
+
+class ConflictError(BasilwickError):
+    """Another writer changed the record first.
+
+    Attributes
+    ----------
+    revision : int
+        Revision now stored.
+    """
+
+    def __init__(self, message: str, revision: int):
+        super().__init__(message)
+        self.revision = revision
+
+
+class InvalidRecordError(BasilwickError):
+    """A record does not match its schema."""
--- /dev/null
+++ b/basilwick/core/types.py
@@ -0,0 +1,28 @@
+"""Type aliases shared by the decision modules."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+ServiceName: TypeAlias = str
+ServerName: TypeAlias = str
+InstanceName: TypeAlias = str
+DataCentreName: TypeAlias = str
+
+#: Index of a shard within its service, 0 to ``blocks * shards_per_block - 1``.
+ShardIndex: TypeAlias = int
+#: Index of a block within its service.
+BlockIndex: TypeAlias = int
+#: 64-bit hash of a key within its service.
+KeyHash: TypeAlias = int
+#: Number of a version of a block document, raised by one on each write.
+Generation: TypeAlias = int
+#: Generation in which a shard or hot key got its present owner.
+Fence: TypeAlias = int
+#: Revision that the platform's key-value service gives to each write.
+Revision: TypeAlias = int
+#: Seconds on the local monotonic clock.
+MonotonicSeconds: TypeAlias = float
+
+#: Identifies a block: its service and its index.
+BlockId: TypeAlias = tuple[ServiceName, BlockIndex]
--- /dev/null
+++ b/basilwick/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, backend servers and the network between them."""
--- /dev/null
+++ b/basilwick/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value service."""
--- /dev/null
+++ b/basilwick/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Processes: sockets and timers around the decision objects."""
--- /dev/null
+++ b/basilwick/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers, backend servers and other instances."""
