--- a/basilwick/core/routing.py
+++ b/basilwick/core/routing.py
@@ -92,7 +92,7 @@
 
     @property
     def self_peer(self) -> Peer:
-        """This instance."""
+        """Name, incarnation and address of the own instance."""
 
     @property
     def ready(self) -> bool:
