Add both record schemas, change rules and the configuration aggregate

Records were decoded without a schema check, with coercion (the text "false" became true), and one fault at a time. Decoding is now strict and reports all faults; schema 1 converts both ways and is refused when a value would be lost.

A witness list may change by one added or removed seat. A seat at a new address counts as two changes, because majorities of the two lists could then share no seat. The number of shards of a service is fixed, and a server changes its address only while it is out and owns nothing.

Configuration never goes back for a key and counts a revision as complete only when the changes start at or before its own. Entry and Changes moved to core; the platform module still exports them. Changes.since tells where changes start.

--- a/basilwick/core/errors.py
+++ b/basilwick/core/errors.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from attrs import define, frozen
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 __all__ = [
     "BasilwickError",
     "ConflictError",
@@ -171,4 +175,14 @@
 
 
 class InvalidRecordError(BasilwickError):
-    """A record does not match its schema."""
+    """A record does not match its schema or breaks a rule about its changes.
+
+    Attributes
+    ----------
+    faults : list of str
+        All faults, each with the name of the field.
+    """
+
+    def __init__(self, message: str, faults: Sequence[str] = ()):
+        super().__init__(message)
+        self.faults = list(faults) or [message]
--- a/basilwick/platform/http.py
+++ b/basilwick/platform/http.py
@@ -92,7 +92,7 @@
         _, data = await self._call(
             "GET", "/watch", params=params, timeout_s=timeout_s + _CALL_TIMEOUT_S
         )
-        return _read_changes(data)
+        return _read_changes(data, since)
 
     async def list_instances(self) -> Sequence[ListedInstance]:
         """Return the lagging list of live and leaving instances."""
@@ -134,6 +134,6 @@
     return Entry(data["key"], data["value"].encode(), data["revision"])
 
 
-def _read_changes(data: dict[str, Any]) -> Changes:
+def _read_changes(data: dict[str, Any], since: int | None = None) -> Changes:
     entries = [_read_entry(entry) for entry in data["entries"]]
-    return Changes(data["revision"], entries, data["snapshot"])
+    return Changes(data["revision"], entries, data["snapshot"], since)
--- a/basilwick/platform/service.py
+++ b/basilwick/platform/service.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from attrs import field, frozen
+from attrs import frozen
+
+from basilwick.core.configuration import Changes, Entry
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -21,44 +23,6 @@
 ]
 
 
-@frozen
-class Entry:
-    """A stored value.
-
-    Attributes
-    ----------
-    key : str
-        Name of the value.
-    value : bytes
-        JSON, at most one megabyte.
-    revision : int
-        Revision of the last write to this key.
-    """
-
-    key: str
-    value: bytes = field(repr=False)
-    revision: Revision
-
-
-@frozen
-class Changes:
-    """Entries of a prefix, all of them or those after a revision.
-
-    Attributes
-    ----------
-    revision : int
-        Revision up to which the entries are complete.
-    entries : sequence of Entry
-        Newest entry of each key.
-    snapshot : bool
-        Whether the entries are all that the prefix holds.
-    """
-
-    revision: Revision
-    entries: Sequence[Entry]
-    snapshot: bool
-
-
 @frozen
 class Committed:
     """The write took effect."""
