Complete the platform client and its stand-in

A lost answer to a write is resolved by reading back the write identity. The same write is sent again only while the key still has the expected revision, so that at most one attempt takes effect; PlatformUnavailableError means that the outcome is unknown.

aiohttp resends PUT and other idempotent methods by itself when a connection breaks: the stand-in counted two PUTs for one compare-and-swap whose answer was lost. Writes therefore use POST, and the same test counts one.

Calls have a budget (token buckets for reads and writes), counters by kind, cause and result, and a fully random delay of up to 2 s after failures, which spreads the calls of 24 clients after a 4 s outage: no 0.2 s holds more than half of them. Leases, the lagging list of instances, a bounded watch log, rate limits and stale reads are new in the stand-in. A watch wakes only for its prefixes.

--- a/basilwick/cli/fake.py
+++ b/basilwick/cli/fake.py
@@ -30,7 +30,11 @@
     help="JSON file with a list of records to start with.",
 )
 def platform(port: int, records: Path | None) -> None:
-    """Run the platform's key-value service."""
+    """Run the platform's key-value service.
+
+    PUT /faults sets faults, PUT /instances/NAME lists an instance, GET /calls counts
+    calls by kind.
+    """
     service = FakePlatform(port=port)
     for record in loads(records.read_bytes()) if records else ():
         service.store_record(record)
--- a/basilwick/core/errors.py
+++ b/basilwick/core/errors.py
@@ -18,6 +18,7 @@
     "Outcome",
     "PlatformUnavailableError",
     "Refusal",
+    "TooLargeError",
     "refuse",
 ]
 
@@ -186,3 +187,7 @@
     def __init__(self, message: str, faults: Sequence[str] = ()):
         super().__init__(message)
         self.faults = list(faults) or [message]
+
+
+class TooLargeError(BasilwickError):
+    """A value is larger than the platform takes."""
--- a/basilwick/fakes/platform.py
+++ b/basilwick/fakes/platform.py
@@ -3,34 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from typing import Any
 
 from aiohttp import web
-from attrs import define, field
+from attrs import asdict, define, field, fields
 from orjson import dumps, loads
 
 from basilwick.core.records import record_key
+from basilwick.fakes.store import PlatformStore
+from basilwick.platform.budget import TokenBucket
 
-__all__ = ["FakePlatform"]
+__all__ = ["FakePlatform", "PlatformFaults"]
 
 _MAX_VALUE_BYTES = 1_000_000
-
-
-@define
-class _Stored:
-    key: str
-    value: str
-    revision: int
-    write_id: str
-
-    def describe(self) -> dict[str, Any]:
-        return {
-            "key": self.key,
-            "value": self.value,
-            "revision": self.revision,
-            "write_id": self.write_id,
-        }
+# Paths by which tests control the stand-in; they count as no call.
+_CONTROL_PATHS = ("/faults", "/calls")
 
 
 @define
@@ -45,16 +33,27 @@
         Delay of every call in seconds.
     lose_write_answers : bool
         Whether writes take effect but their answers are lost.
+    stale_reads : bool
+        Whether reads that don't ask for consistency return the value before the last
+        write.
+    instance_lag_s : float
+        Age of the list of instances in seconds.
+    reads_per_s, writes_per_s : float
+        Rates above which calls are refused with 429; 0 sets no limit.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_write_answers: bool = False
+    stale_reads: bool = False
+    instance_lag_s: float = 0.0
+    reads_per_s: float = 0.0
+    writes_per_s: float = 0.0
 
 
 @define
 class FakePlatform:
-    """Key-value service with compare-and-swap and watches, in memory.
+    """Key-value service with compare-and-swap, leases and watches, in memory.
 
     Parameters
     ----------
@@ -62,15 +61,27 @@
         Address to listen on.
     port : int
         Port to listen on; 0 takes a free one.
+    faults : PlatformFaults
+        Faults in force; PUT /faults replaces all, those not named by their defaults.
+    store : PlatformStore
+        Stored values, leases and instances.
+
+    Attributes
+    ----------
+    calls : Counter of str
+        Number of calls by method and first part of the path.
+    call_times : deque of (float, str)
+        Time and kind of the latest calls, those that failed included.
     """
 
     host: str = "127.0.0.1"
     port: int = 0
     faults: PlatformFaults = field(factory=PlatformFaults)
+    store: PlatformStore = field(factory=PlatformStore)
     calls: Counter[str] = field(factory=Counter)
-    revision: int = 0
-    _entries: dict[str, _Stored] = field(factory=dict)
-    _changed: asyncio.Condition = field(factory=asyncio.Condition)
+    call_times: deque[tuple[float, str]] = field(factory=lambda: deque(maxlen=100_000))
+    _buckets: dict[tuple[str, float], TokenBucket] = field(factory=dict)
+    _changed: asyncio.Event = field(factory=asyncio.Event)
     _runner: web.AppRunner | None = None
 
     @property
@@ -78,6 +89,11 @@
         """IP number and port that the service listens on."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def revision(self) -> int:
+        """Revision of the last write."""
+        return self.store.revision
+
     async def start(self) -> None:
         """Listen."""
         app = web.Application(
@@ -85,13 +101,20 @@
         )
         app.router.add_get("/kv/{key:.+}", self._get)
         app.router.add_put("/kv/{key:.+}", self._put)
+        app.router.add_post("/kv/{key:.+}", self._put)
         app.router.add_get("/range", self._list)
         app.router.add_get("/watch", self._watch)
+        app.router.add_put("/leases/{name:.+}", self._hold_lease)
+        app.router.add_delete("/leases/{name:.+}", self._release_lease)
+        app.router.add_get("/instances", self._list_instances)
+        app.router.add_put("/instances/{name}", self._set_instance)
+        app.router.add_delete("/instances/{name}", self._remove_instance)
         app.router.add_get("/calls", self._report_calls)
+        app.router.add_get("/faults", self._report_faults)
         app.router.add_put("/faults", self._set_faults)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, self.port, shutdown_timeout=0.1)
+        site = web.TCPSite(self._runner, self.host, self.port)
         await site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -102,27 +125,53 @@
 
     def store_record(self, record: dict[str, Any]) -> None:
         """Store a record as if an operator had put it."""
-        self.revision += 1
-        key = record_key(record["kind"], record["name"])
-        value = dumps(record).decode()
-        self._entries[key] = _Stored(key, value, self.revision, "")
+        self.store.write(
+            record_key(record["kind"], record["name"]), dumps(record).decode()
+        )
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Any) -> Any:
-        if request.path in ("/faults", "/calls"):
+        if request.path in _CONTROL_PATHS or request.path.startswith("/instances/"):
             return await handler(request)
-        self.calls[f"{request.method} {request.path.split('/')[1]}"] += 1
+        kind = f"{request.method} {request.path.split('/')[1]}"
+        self.calls[kind] += 1
+        self.call_times.append((_now(), kind))
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.down:
             return web.Response(status=503)
+        if not self._take_token(request.method):
+            return web.Response(status=429)
         response = await handler(request)
-        if self.faults.lose_write_answers and request.method == "PUT":
+        if self.faults.lose_write_answers and request.method != "GET":
             request.transport.close()
+        elif self.faults.down:
+            # The outage began while a watch was waiting.
+            return web.Response(status=503)
         return response
 
+    def _take_token(self, method: str) -> bool:
+        faults = self.faults
+        rate = faults.reads_per_s if method == "GET" else faults.writes_per_s
+        if not rate:
+            return True
+        kind = "read" if method == "GET" else "write"
+        bucket = self._buckets.setdefault((kind, rate), TokenBucket(rate, rate))
+        return bucket.reserve(_now(), 0.0) is not None
+
+    def _is_stale(self, request: web.Request) -> bool:
+        consistent = request.query.get("consistent") == "true"
+        return self.faults.stale_reads and not consistent
+
     async def _get(self, request: web.Request) -> web.Response:
-        stored = self._entries.get(request.match_info["key"])
+        stored = self.store.read(
+            request.match_info["key"], stale=self._is_stale(request)
+        )
         if stored is None:
             return _respond({}, status=404)
         return _respond(stored.describe())
@@ -130,48 +179,83 @@
     async def _put(self, request: web.Request) -> web.Response:
         key = request.match_info["key"]
         body = loads(await request.read())
-        stored = self._entries.get(key)
-        if (stored.revision if stored else 0) != body["expected"]:
-            return _respond(
-                {"current": stored.describe() if stored else None}, status=409
-            )
-        self.revision += 1
-        self._entries[key] = _Stored(
-            key, body["value"], self.revision, body["write_id"]
+        if len(body["value"].encode()) > _MAX_VALUE_BYTES:
+            return _respond({"error": "value is larger than 1 MB"}, status=413)
+        revision = self.store.compare_and_swap(
+            key, body["value"], body["expected"], body["write_id"]
         )
-        revision = self.revision
-        async with self._changed:
-            self._changed.notify_all()
+        if revision is None:
+            stored = self.store.read(key)
+            current = stored.describe() if stored else None
+            return _respond({"current": current}, status=409)
+        self._wake_watches()
         return _respond({"revision": revision})
 
     async def _list(self, request: web.Request) -> web.Response:
-        return _respond(self._collect(request.query["prefix"], 0, snapshot=True))
+        prefixes = request.query.getall("prefix")
+        stale = self._is_stale(request)
+        return _respond(self.store.collect(prefixes, None, stale=stale))
 
     async def _watch(self, request: web.Request) -> web.Response:
-        prefix = request.query["prefix"]
         since = int(request.query["since"])
-        async with self._changed:
-            try:
-                async with asyncio.timeout(float(request.query["timeout_s"])):
-                    await self._changed.wait_for(lambda: self.revision > since)
-            except TimeoutError:
-                pass
-        return _respond(self._collect(prefix, since, snapshot=False))
-
-    def _collect(self, prefix: str, since: int, *, snapshot: bool) -> dict[str, Any]:
-        entries = [
-            stored.describe()
-            for key, stored in self._entries.items()
-            if key.startswith(prefix) and stored.revision > since
-        ]
-        return {"revision": self.revision, "entries": entries, "snapshot": snapshot}
+        prefixes = request.query.getall("prefix")
+        try:
+            async with asyncio.timeout(float(request.query["timeout_s"])):
+                while not self.store.has_changes(prefixes, since):
+                    if self.faults.down:
+                        break
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        return _respond(self.store.collect(prefixes, since))
+
+    async def _hold_lease(self, request: web.Request) -> web.Response:
+        body = loads(await request.read())
+        held = self.store.hold_lease(
+            request.match_info["name"],
+            body["holder"],
+            body["ttl_s"],
+            _now(),
+            renew=body["renew"],
+        )
+        return _respond({}, status=200 if held else 409)
+
+    async def _release_lease(self, request: web.Request) -> web.Response:
+        self.store.release_lease(request.match_info["name"], request.query["holder"])
+        return _respond({})
+
+    async def _list_instances(self, request: web.Request) -> web.Response:
+        return _respond(self.store.list_instances(_now(), self.faults.instance_lag_s))
+
+    async def _set_instance(self, request: web.Request) -> web.Response:
+        line = loads(await request.read())
+        self.store.set_instance(request.match_info["name"], line, _now())
+        return _respond({})
+
+    async def _remove_instance(self, request: web.Request) -> web.Response:
+        self.store.set_instance(request.match_info["name"], None, _now())
+        return _respond({})
 
     async def _report_calls(self, request: web.Request) -> web.Response:
         return _respond(dict(self.calls))
 
+    async def _report_faults(self, request: web.Request) -> web.Response:
+        return _respond(asdict(self.faults))
+
     async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = PlatformFaults(**loads(await request.read()))
-        return _respond({})
+        changes = loads(await request.read())
+        allowed = [attribute.name for attribute in fields(PlatformFaults)]
+        unknown = sorted(set(changes) - set(allowed))
+        if unknown:
+            message = f"unknown faults {unknown}; allowed: {', '.join(allowed)}"
+            return _respond({"error": message}, status=400)
+        self.faults = PlatformFaults(**changes)
+        self._wake_watches()
+        return _respond(asdict(self.faults))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
 
 
 def _respond(data: Any, status: int = 200) -> web.Response:
--- /dev/null
+++ b/basilwick/platform/budget.py
@@ -0,0 +1,134 @@
+"""Limits on calls to the platform: rates, and spreading after failures."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from basilwick.core.types import MonotonicSeconds
+
+__all__ = ["Backoff", "CallBudget", "CallKind", "TokenBucket"]
+
+
+class CallKind(StrEnum):
+    """Kind of a call; the platform takes fewer writes than reads."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+@define
+class TokenBucket:
+    """Limits a rate and allows bursts.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens added a second.
+    burst : float
+        Most tokens that are held.
+    """
+
+    rate: float
+    burst: float
+    _tokens: float = field(init=False)
+    _updated_at: MonotonicSeconds | None = field(init=False, default=None)
+
+    def __attrs_post_init__(self) -> None:
+        self._tokens = self.burst
+
+    def reserve(self, now: MonotonicSeconds, max_wait_s: float) -> float | None:
+        """Take a token that is there now or will be soon.
+
+        Parameters
+        ----------
+        now : float
+            Local time in seconds.
+        max_wait_s : float
+            Longest acceptable wait in seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds to wait before the token may be used, None when the wait would be
+            longer; no token is taken then.
+        """
+        elapsed = 0.0 if self._updated_at is None else max(0.0, now - self._updated_at)
+        self._updated_at = now
+        self._tokens = min(self.burst, self._tokens + elapsed * self.rate)
+        wait = max(0.0, (1 - self._tokens) / self.rate)
+        if wait > max_wait_s:
+            return None
+        self._tokens -= 1
+        return wait
+
+
+def _build_reads() -> TokenBucket:
+    # The platform takes about 2,000 reads a second; 12 instances stay at a third of it.
+    return TokenBucket(rate=50, burst=100)
+
+
+def _build_writes() -> TokenBucket:
+    # The platform takes several hundred writes a second. Loss of a server changes up to
+    # 36 block documents at once, which must not wait for tokens.
+    return TokenBucket(rate=20, burst=80)
+
+
+@define
+class CallBudget:
+    """Budget of one instance for calls to the platform."""
+
+    reads: TokenBucket = field(factory=_build_reads)
+    writes: TokenBucket = field(factory=_build_writes)
+
+    def reserve(
+        self, kind: CallKind, now: MonotonicSeconds, max_wait_s: float
+    ) -> float | None:
+        """Return the wait in seconds before a call, None when it would be too long."""
+        bucket = self.reads if kind is CallKind.READ else self.writes
+        return bucket.reserve(now, max_wait_s)
+
+
+@define
+class Backoff:
+    """Delays calls after failures by a random time that grows with each failure.
+
+    The whole interval is random, not only a part of it, so that instances that saw the
+    platform fail at the same moment call at different times when it returns.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the delays.
+    base_s, cap_s : float
+        Longest delay after the first failure and after many, in seconds.
+    """
+
+    rng: Random
+    base_s: float = 0.1
+    cap_s: float = 2.0
+    failures: int = 0
+    _not_before: MonotonicSeconds = 0.0
+
+    def get_delay(self, now: MonotonicSeconds) -> float:
+        """Return the seconds to wait before the next call."""
+        return max(0.0, self._not_before - now)
+
+    def record_failure(self, now: MonotonicSeconds) -> None:
+        """Delay the calls that follow."""
+        # A burst of calls that fail together counts once.
+        if now < self._not_before:
+            return
+        longest = min(self.cap_s, self.base_s * 2 ** min(self.failures, 16))
+        self.failures += 1
+        self._not_before = now + self.rng.uniform(0.0, longest)
+
+    def record_success(self) -> None:
+        """End the delays."""
+        self.failures = 0
+        self._not_before = 0.0
--- a/basilwick/platform/http.py
+++ b/basilwick/platform/http.py
@@ -2,27 +2,56 @@
 
 from __future__ import annotations
 
+import asyncio
+from random import Random
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
+from attrs import frozen
 from orjson import dumps, loads
+from prometheus_client import Counter
 
-from basilwick.core.errors import PlatformUnavailableError
+from basilwick.core.errors import PlatformUnavailableError, TooLargeError
+from basilwick.platform.budget import Backoff, CallBudget, CallKind
 from basilwick.platform.service import (
     Changes,
     Committed,
     Conflict,
     Entry,
+    Lease,
     ListedInstance,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["HttpPlatform"]
+__all__ = ["MAX_VALUE_BYTES", "HttpPlatform"]
 
+#: Largest value that the platform takes.
+MAX_VALUE_BYTES = 1_000_000
 _CALL_TIMEOUT_S = 1.0
+# A list holds all documents of a prefix: about 5 MB at the target size.
+_LIST_TIMEOUT_S = 5.0
+_ATTEMPTS = 3
+_BUDGET_WAIT_S = 2.0
+
+_CALLS = Counter(
+    "basilwick_platform_calls",
+    "Calls to the platform by kind, cause and result",
+    ["kind", "cause", "result"],
+)
+
+
+@frozen
+class _Request:
+    kind: CallKind
+    cause: str
+    method: str
+    path: str
+    params: Sequence[tuple[str, str]] = ()
+    data: bytes | None = None
+    timeout_s: float = _CALL_TIMEOUT_S
 
 
 class HttpPlatform:
@@ -32,15 +61,26 @@
     ----------
     address : str
         IP number and port, for instance ``127.0.0.1:7000``.
+    budget : CallBudget, optional
+        Limits of the calls.
+    rng : random.Random, optional
+        Source of the delays between retries.
     """
 
-    def __init__(self, address: str):
+    def __init__(
+        self,
+        address: str,
+        budget: CallBudget | None = None,
+        rng: Random | None = None,
+    ):
         self._base = f"http://{address}"
+        self._budget = budget or CallBudget()
+        self._backoff = Backoff(rng or Random())
         self._session: ClientSession | None = None
 
     async def start(self) -> None:
         """Open the client session."""
-        self._session = ClientSession(timeout=ClientTimeout(total=_CALL_TIMEOUT_S))
+        self._session = ClientSession()
 
     async def close(self) -> None:
         """Close the client session."""
@@ -49,85 +89,201 @@
 
     async def get(self, key: str) -> Entry | None:
         """Return the newest value of a key by a consistent read."""
-        status, data = await self._call("GET", f"/kv/{quote(key)}")
-        return None if status == 404 else _read_entry(data)
+        data = await self._get(key)
+        return None if data is None else _read_entry(data)
 
-    async def list_entries(self, prefix: str) -> Changes:
-        """Return all entries of a prefix by a consistent read."""
-        _, data = await self._call("GET", "/range", params={"prefix": prefix})
+    async def list_entries(self, prefix: str | Sequence[str]) -> Changes:
+        """Return all entries of one or more prefixes by a consistent read."""
+        request = _Request(
+            CallKind.READ,
+            "list",
+            "GET",
+            "/range",
+            params=[*_list_prefixes(prefix), ("consistent", "true")],
+            timeout_s=_LIST_TIMEOUT_S,
+        )
+        _, data = await self._retry(request)
         return _read_changes(data)
 
     async def compare_and_swap(
         self, key: str, value: bytes, expected: int, write_id: str
     ) -> Committed | Conflict:
         """Write a value if the key still has the expected revision."""
-        body = dumps(
-            {"value": value.decode(), "expected": expected, "write_id": write_id}
+        if len(value) > MAX_VALUE_BYTES:
+            raise TooLargeError(
+                f"value of {key!r} has {len(value)} bytes; the platform takes "
+                f"{MAX_VALUE_BYTES}: shorten it"
+            )
+        body = {"value": value.decode(), "expected": expected, "write_id": write_id}
+        request = _Request(
+            CallKind.WRITE,
+            f"write {_get_area(key)}",
+            # aiohttp resends a PUT by itself when the connection breaks.
+            "POST",
+            f"/kv/{quote(key)}",
+            data=dumps(body),
         )
-        try:
-            status, data = await self._call("PUT", f"/kv/{quote(key)}", data=body)
-        except PlatformUnavailableError:
-            return await self._resolve_lost_answer(key, expected, write_id)
-        if status == 409:
-            current = data.get("current")
-            return Conflict(_read_entry(current) if current else None)
-        return Committed(data["revision"])
-
-    async def _resolve_lost_answer(
-        self, key: str, expected: int, write_id: str
-    ) -> Committed | Conflict:
-        status, data = await self._call("GET", f"/kv/{quote(key)}")
-        if status == 200 and data["write_id"] == write_id:
+        for _ in range(_ATTEMPTS):
+            try:
+                status, data = await self._send(request)
+            except PlatformUnavailableError:
+                # The write may have taken effect, or may do so later.
+                current = await self._get(key)
+                if (current["revision"] if current else 0) == expected:
+                    # Sending the same write again is safe: both expect the same
+                    # revision, so at most one of them takes effect.
+                    continue
+                return _resolve(current, write_id)
+            if status == 409:
+                # The current value can be that of an earlier attempt of this write.
+                return _resolve(data.get("current"), write_id)
             return Committed(data["revision"])
-        current = None if status == 404 else _read_entry(data)
-        if (current.revision if current else 0) != expected:
-            return Conflict(current)
         raise PlatformUnavailableError(
             f"write {write_id} to {key!r} has no known outcome yet; read it again later"
         )
 
-    async def watch(self, prefix: str, since: int, timeout_s: float) -> Changes:
+    async def watch(
+        self, prefix: str | Sequence[str], since: int, timeout_s: float
+    ) -> Changes:
         """Wait for changes after a revision, at most for the given seconds."""
-        params = {"prefix": prefix, "since": str(since), "timeout_s": str(timeout_s)}
-        _, data = await self._call(
-            "GET", "/watch", params=params, timeout_s=timeout_s + _CALL_TIMEOUT_S
+        request = _Request(
+            CallKind.READ,
+            "watch",
+            "GET",
+            "/watch",
+            params=[
+                *_list_prefixes(prefix),
+                ("since", str(since)),
+                ("timeout_s", str(timeout_s)),
+            ],
+            timeout_s=timeout_s + _CALL_TIMEOUT_S,
         )
+        _, data = await self._send(request)
         return _read_changes(data, since)
 
     async def list_instances(self) -> Sequence[ListedInstance]:
         """Return the lagging list of live and leaving instances."""
-        _, data = await self._call("GET", "/instances")
+        request = _Request(CallKind.READ, "list instances", "GET", "/instances")
+        _, data = await self._retry(request)
         return [ListedInstance(**line) for line in data]
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        *,
-        params: dict[str, str] | None = None,
-        data: bytes | None = None,
-        timeout_s: float = _CALL_TIMEOUT_S,
-    ) -> tuple[int, Any]:
-        assert self._session is not None, "call start first"
+    async def acquire_lease(self, name: str, holder: str, ttl_s: float) -> Lease | None:
+        """Take a lease, or extend it when the holder has it; None if another has it."""
+        return await self._hold_lease(name, holder, ttl_s, renew=False)
+
+    async def renew_lease(self, lease: Lease) -> Lease | None:
+        """Extend a lease; None when it lapsed, even if nobody took it since."""
+        return await self._hold_lease(lease.name, lease.holder, lease.ttl_s, renew=True)
+
+    async def release_lease(self, lease: Lease) -> None:
+        """Give a lease up; no effect when another holder has it."""
+        request = _Request(
+            CallKind.WRITE,
+            "lease",
+            "DELETE",
+            f"/leases/{quote(lease.name)}",
+            params=[("holder", lease.holder)],
+        )
+        await self._retry(request)
+
+    async def _hold_lease(
+        self, name: str, holder: str, ttl_s: float, *, renew: bool
+    ) -> Lease | None:
+        request = _Request(
+            CallKind.WRITE,
+            "lease",
+            "PUT",
+            f"/leases/{quote(name)}",
+            data=dumps({"holder": holder, "ttl_s": ttl_s, "renew": renew}),
+        )
+        # Counting from before the first attempt can only end the lease too early.
+        started = asyncio.get_running_loop().time()
+        status, _ = await self._retry(request)
+        return None if status == 409 else Lease(name, holder, ttl_s, started + ttl_s)
+
+    async def _get(self, key: str) -> dict[str, Any] | None:
+        request = _Request(
+            CallKind.READ,
+            f"get {_get_area(key)}",
+            "GET",
+            f"/kv/{quote(key)}",
+            params=[("consistent", "true")],
+        )
+        status, data = await self._retry(request)
+        return None if status == 404 else data
+
+    async def _retry(self, request: _Request) -> tuple[int, Any]:
+        for attempt in range(_ATTEMPTS):
+            try:
+                return await self._send(request)
+            except PlatformUnavailableError:
+                if attempt + 1 == _ATTEMPTS:
+                    raise
+        raise AssertionError("unreachable")
+
+    async def _send(self, request: _Request) -> tuple[int, Any]:
+        await self._wait_for_turn(request)
+        loop = asyncio.get_running_loop()
         try:
-            async with self._session.request(
-                method,
-                self._base + path,
-                params=params,
-                data=data,
-                timeout=ClientTimeout(total=timeout_s),
-            ) as response:
-                body = await response.read()
-                if response.status not in (200, 404, 409):
-                    raise PlatformUnavailableError(
-                        f"platform answered {response.status} to {method} {path}; "
-                        f"retry later"
-                    )
-                return response.status, loads(body)
+            status, body = await self._exchange(request)
         except (ClientError, TimeoutError, ValueError) as error:
+            self._backoff.record_failure(loop.time())
+            _CALLS.labels(request.kind, request.cause, "no answer").inc()
             raise PlatformUnavailableError(
-                f"platform gave no answer to {method} {path} ({error!r}); retry later"
+                f"platform gave no answer to {request.method} {request.path} "
+                f"({error!r}); retry later"
             ) from error
+        if status not in (200, 404, 409):
+            self._backoff.record_failure(loop.time())
+            _CALLS.labels(request.kind, request.cause, str(status)).inc()
+            raise PlatformUnavailableError(
+                f"platform answered {status} to {request.method} {request.path}; "
+                f"retry later"
+            )
+        self._backoff.record_success()
+        _CALLS.labels(request.kind, request.cause, "ok").inc()
+        return status, body
+
+    async def _wait_for_turn(self, request: _Request) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._backoff.get_delay(loop.time()))
+        wait = self._budget.reserve(request.kind, loop.time(), _BUDGET_WAIT_S)
+        if wait is None:
+            _CALLS.labels(request.kind, request.cause, "over budget").inc()
+            raise PlatformUnavailableError(
+                f"call budget for {request.kind}s is used up; {request.method} "
+                f"{request.path} was not sent: retry later"
+            )
+        if wait:
+            await asyncio.sleep(wait)
+
+    async def _exchange(self, request: _Request) -> tuple[int, Any]:
+        assert self._session is not None, "call start first"
+        async with self._session.request(
+            request.method,
+            self._base + request.path,
+            params=list(request.params),
+            data=request.data,
+            timeout=ClientTimeout(total=request.timeout_s),
+        ) as response:
+            body = await response.read()
+            # Bodies of failures are not of this service's format.
+            return response.status, loads(body) if response.status < 410 else None
+
+
+def _resolve(current: dict[str, Any] | None, write_id: str) -> Committed | Conflict:
+    if current is not None and current["write_id"] == write_id:
+        return Committed(current["revision"])
+    return Conflict(None if current is None else _read_entry(current))
+
+
+def _list_prefixes(prefix: str | Sequence[str]) -> list[tuple[str, str]]:
+    prefixes = [prefix] if isinstance(prefix, str) else prefix
+    return [("prefix", prefix) for prefix in prefixes]
+
+
+def _get_area(key: str) -> str:
+    return key.partition("/")[0]
 
 
 def _read_entry(data: dict[str, Any]) -> Entry:
