Check settings whole before start and add the check command

Settings were structured with coercion and one error at a time. Unknown names, wrong types, values out of range, host names and addresses used twice are now reported together, each with file, key and allowed values; the process ends with exit code 2. The shared key never appears in messages or in the printed settings.

--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -3,29 +3,60 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from pathlib import Path
 
 from click import Path as PathType
-from click import argument, group
+from click import argument, echo, group, option
+from orjson import dumps
 
+from basilwick.cli.errors import CommandGroup, ExitCode
 from basilwick.cli.fake import fake
 from basilwick.cli.process import run_until_signal
 from basilwick.runtime.instance import Instance
-from basilwick.settings import load_settings
+from basilwick.settings import (
+    InvalidSettingsError,
+    describe_settings,
+    load_settings,
+)
 
 __all__ = ["main"]
 
 
-@group()
+@group(cls=CommandGroup)
 def main() -> None:
-    """Route requests to backend servers that each own a set of keys."""
+    """Route requests to backend servers that each own a set of keys.
+
+    Exit codes: 0 done, 1 unexpected failure, 2 invalid usage, settings or record,
+    3 conflict with another operator, 4 platform or instance unavailable,
+    5 not found, 6 shared key missing or wrong, 7 not confirmed.
+    """
 
 
 @main.command()
-@argument("settings", type=PathType(exists=True, path_type=Path))
+@argument("settings", type=PathType(path_type=Path))
 def serve(settings: Path) -> None:
     """Run an entry instance with the settings of a TOML file."""
     asyncio.run(run_until_signal(Instance(load_settings(settings))))
 
 
+@main.command()
+@argument("settings", type=PathType(path_type=Path))
+@option("--json", "as_json", is_flag=True, help="Print JSON.")
+def check(settings: Path, as_json: bool) -> None:
+    """Check a settings file without starting anything; reports all faults."""
+    try:
+        loaded = load_settings(settings)
+    except InvalidSettingsError as error:
+        if not as_json:
+            raise
+        echo(dumps({"valid": False, "faults": error.faults}).decode())
+        sys.exit(ExitCode.INVALID)
+    if as_json:
+        report = {"valid": True, "settings": describe_settings(loaded)}
+        echo(dumps(report).decode())
+    else:
+        echo(f"{settings}: valid")
+
+
 main.add_command(fake)
--- a/basilwick/settings.py
+++ b/basilwick/settings.py
@@ -1,49 +1,163 @@
-"""Settings of an instance, read from one TOML file."""
+"""Settings of an instance, read from one TOML file and checked whole before start."""
 
 from __future__ import annotations
 
-from tomllib import load
-from typing import TYPE_CHECKING
+from tomllib import TOMLDecodeError, load
+from typing import TYPE_CHECKING, Annotated, Any
 
-from attrs import frozen
-from cattrs import Converter
+from attrs import Factory, asdict, frozen
+
+from basilwick.core.errors import BasilwickError
+
+# cattrs resolves the annotations at run time.
+from basilwick.core.validation import (
+    Address,
+    Between,
+    ListenAddress,
+    Name,
+    ValidationError,
+    find_duplicates,
+    split_address,
+    structure,
+)
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["InstanceSettings", "ListenSettings", "Settings", "load_settings"]
+__all__ = [
+    "InstanceSettings",
+    "InvalidSettingsError",
+    "LimitsSettings",
+    "ListenSettings",
+    "LogsSettings",
+    "PeersSettings",
+    "PlatformSettings",
+    "SecuritySettings",
+    "Settings",
+    "TraceSettings",
+    "describe_settings",
+    "load_settings",
+]
+
+_MB = 1_000_000
+_LEVELS = ("trace", "debug", "info", "warning", "error")
+# Shorter keys can be guessed; 16 characters hold 64 bits even in hexadecimal.
+_SHARED_KEY_MIN_LENGTH = 16
+
+
+class InvalidSettingsError(BasilwickError):
+    """A settings file can't be used.
+
+    Attributes
+    ----------
+    faults : list of str
+        All faults, each with file, key and allowed values.
+    """
+
+    def __init__(self, path: Path, faults: list[str]):
+        self.faults = [f"{path}: {fault}" for fault in faults]
+        super().__init__("\n".join(self.faults))
+
+
+@frozen
+class _LevelCheck:
+    def check(self, value: Any, kind: type) -> Any:
+        if value not in _LEVELS:
+            raise ValueError(f"got {value!r}; allowed: {', '.join(_LEVELS)}")
+        return value
+
+
+@frozen
+class _SharedKeyCheck:
+    def check(self, value: Any, kind: type) -> Any:
+        # The value is a secret, so the message does not quote it.
+        printable = isinstance(value, str) and value.isascii() and value.isprintable()
+        if printable and (not value or len(value) >= _SHARED_KEY_MIN_LENGTH):
+            return value
+        raise ValueError(
+            f"not usable; allowed: at least {_SHARED_KEY_MIN_LENGTH} printable ASCII "
+            f"characters, or empty for no key"
+        )
 
 
 @frozen
 class InstanceSettings:
     """Identity of the instance."""
 
-    name: str
-    data_centre: str
+    name: Name
+    data_centre: Name
 
 
 @frozen
 class ListenSettings:
     """Addresses to listen on, each an IP number and a port."""
 
-    caller: str
-    forward: str
-    peer: str
-    admin: str
+    caller: ListenAddress
+    forward: ListenAddress
+    peer: ListenAddress
+    admin: ListenAddress
 
 
 @frozen
 class PlatformSettings:
     """How to reach the platform's key-value service."""
 
-    address: str
+    address: Address
+
+
+@frozen
+class PeersSettings:
+    """Peer listeners of other instances, used to find them at start."""
+
+    addresses: tuple[Address, ...] = ()
 
 
 @frozen
 class SecuritySettings:
-    """Shared key of the peer, forward and admin ports."""
+    """Shared key that the peer, forward and admin ports require when it is set."""
 
-    shared_key: str = ""
+    shared_key: Annotated[str, _SharedKeyCheck()] = ""
+
+    def __repr__(self) -> str:
+        return f"SecuritySettings(shared_key={'***' if self.shared_key else ''!r})"
+
+
+@frozen
+class LogsSettings:
+    """Lowest level that is logged, and whether lines are JSON."""
+
+    level: Annotated[str, _LevelCheck()] = "info"
+    json: bool = False
+
+
+@frozen
+class TraceSettings:
+    """File that records events for replay, empty for none, and its largest size."""
+
+    path: str = ""
+    max_bytes: Annotated[int, Between(1000, 100_000 * _MB)] = 100 * _MB
+
+
+@frozen
+class LimitsSettings:
+    """Limits of the request path.
+
+    Attributes
+    ----------
+    max_body_bytes : int
+        Largest request body; uploads stream and don't count against memory.
+    max_key_bytes : int
+        Longest key; the caller interface allows at most 512.
+    queue_length : int
+        Most requests that wait for one server.
+    shutdown_s : float
+        Longest time in seconds that a planned stop waits for running requests.
+    """
+
+    max_body_bytes: Annotated[int, Between(1, 100_000 * _MB)] = 100 * _MB
+    max_key_bytes: Annotated[int, Between(1, 512)] = 512
+    queue_length: Annotated[int, Between(0, 10_000)] = 64
+    shutdown_s: Annotated[float, Between(0.0, 3600.0)] = 30.0
 
 
 @frozen
@@ -53,11 +167,85 @@
     instance: InstanceSettings
     listen: ListenSettings
     platform: PlatformSettings
-    security: SecuritySettings = SecuritySettings()
+    peers: PeersSettings = Factory(PeersSettings)
+    security: SecuritySettings = Factory(SecuritySettings)
+    logs: LogsSettings = Factory(LogsSettings)
+    trace: TraceSettings = Factory(TraceSettings)
+    limits: LimitsSettings = Factory(LimitsSettings)
 
 
 def load_settings(path: Path) -> Settings:
-    """Read settings from a TOML file."""
-    with path.open("rb") as file:
-        data = load(file)
-    return Converter(forbid_extra_keys=True).structure(data, Settings)
+    """Read and check settings from a TOML file.
+
+    Raises
+    ------
+    InvalidSettingsError
+        With all faults of the file.
+    """
+    try:
+        with path.open("rb") as file:
+            data = load(file)
+    except (OSError, TOMLDecodeError, UnicodeDecodeError) as error:
+        fault = f"can't be read as TOML ({error})"
+        raise InvalidSettingsError(path, [fault]) from error
+    faults: list[str] = []
+    try:
+        settings = structure(data, Settings)
+    except ValidationError as error:
+        faults = error.faults
+    faults += _find_shared_addresses(data)
+    if faults:
+        raise InvalidSettingsError(path, faults)
+    return settings
+
+
+def _find_shared_addresses(data: dict[str, Any]) -> list[str]:
+    # Works on the raw data, so that these faults are reported together with others.
+    listen = data.get("listen")
+    listen = listen if isinstance(listen, dict) else {}
+    addresses = {
+        f"listen.{name}": value
+        for name, value in listen.items()
+        if name in ListenSettings.__annotations__ and isinstance(value, str)
+    }
+    platform = data.get("platform")
+    if isinstance(platform, dict) and isinstance(platform.get("address"), str):
+        addresses["platform.address"] = platform["address"]
+    faults = []
+    for first, (name, address) in enumerate(addresses.items()):
+        for other, taken in list(addresses.items())[:first]:
+            if _overlap(address, taken):
+                faults.append(
+                    f"{name}: got {address!r}; allowed: an address other than that of "
+                    f"{other}"
+                )
+                break
+    return faults + _find_duplicate_peers(data)
+
+
+def _find_duplicate_peers(data: dict[str, Any]) -> list[str]:
+    peers = data.get("peers")
+    addresses = peers.get("addresses") if isinstance(peers, dict) else None
+    if not isinstance(addresses, list):
+        return []
+    return [
+        f"peers.addresses: got {address!r} more than once; allowed: once"
+        for address in find_duplicates(a for a in addresses if isinstance(a, str))
+    ]
+
+
+def _overlap(first: str, second: str) -> bool:
+    try:
+        (host, port), (other_host, other_port) = map(split_address, (first, second))
+    except ValueError:
+        return False
+    unspecified = {"0.0.0.0", "::"}
+    same_host = host == other_host or bool({host, other_host} & unspecified)
+    return port == other_port and same_host
+
+
+def describe_settings(settings: Settings) -> dict[str, Any]:
+    """Return all settings with defaults filled in and without the shared key."""
+    data = asdict(settings)
+    data["security"]["shared_key"] = "***" if settings.security.shared_key else ""
+    return data
