Add the admin port, the record store and the operators' commands

Operators had no way to change records. A put names the revision that the operator saw; a loser gets conflict with the current revision and a diff.

The commands status, explain and record show what will move before a put and end with documented exit codes.

--- a/basilwick/cli/errors.py
+++ b/basilwick/cli/errors.py
@@ -6,7 +6,7 @@
 from enum import IntEnum
 from typing import Any
 
-from click import Context, Group, echo
+from click import Context, Group, Parameter, echo, option
 from orjson import dumps
 
 from basilwick.core.errors import (
@@ -17,7 +17,10 @@
 )
 from basilwick.settings import InvalidSettingsError
 
-__all__ = ["CommandError", "CommandGroup", "ExitCode"]
+__all__ = ["CommandError", "CommandGroup", "ExitCode", "json_option"]
+
+
+_JSON = "basilwick.json"
 
 
 class ExitCode(IntEnum):
@@ -47,16 +50,16 @@
     ----------
     code : ExitCode
         Exit code of the process.
-    answer : dict
-        Answer of the instance, shown with ``--json``.
+    details : dict
+        Further values of the failure, printed with ``--json``.
     """
 
     def __init__(
-        self, message: str, code: ExitCode, answer: dict[str, Any] | None = None
+        self, message: str, code: ExitCode, details: dict[str, Any] | None = None
     ):
         super().__init__(message)
         self.code = code
-        self.answer = answer or {}
+        self.details = details or {}
 
 
 class CommandGroup(Group):
@@ -67,11 +70,27 @@
         try:
             return super().invoke(ctx)
         except BasilwickError as error:
-            if isinstance(error, CommandError) and error.answer.get("as_json"):
-                echo(dumps({"error": str(error), **error.answer}).decode())
+            code = _get_code(error)
+            if ctx.meta.get(_JSON):
+                details = getattr(error, "details", None)
+                details = details or {"faults": getattr(error, "faults", [])}
+                report = {"error": code.name.lower(), "message": str(error), **details}
+                echo(dumps(report).decode())
             else:
                 echo(f"error: {error}", err=True)
-            sys.exit(_get_code(error))
+            sys.exit(code)
+
+
+def _remember_json(ctx: Context, _: Parameter, value: bool) -> bool:
+    # Shared by all contexts of the command, so that the group can see it.
+    ctx.meta[_JSON] = value
+    return value
+
+
+#: Option of commands that can print JSON; errors are then JSON as well.
+json_option = option(
+    "--json", "as_json", is_flag=True, callback=_remember_json, help="Print JSON."
+)
 
 
 def _get_code(error: BasilwickError) -> ExitCode:
--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 from pathlib import Path
 
 from click import Path as PathType
-from click import argument, echo, group, option
+from click import argument, echo, group
 from orjson import dumps
 
-from basilwick.cli.errors import CommandGroup, ExitCode
+from basilwick.cli.errors import CommandGroup, json_option
 from basilwick.cli.fake import fake
 from basilwick.cli.process import run_until_signal
+from basilwick.cli.record import record
+from basilwick.cli.status import explain, status
 from basilwick.runtime.instance import Instance
-from basilwick.settings import (
-    InvalidSettingsError,
-    describe_settings,
-    load_settings,
-)
+from basilwick.settings import describe_settings, load_settings
 
 __all__ = ["main"]
 
@@ -42,16 +39,10 @@
 
 @main.command()
 @argument("settings", type=PathType(path_type=Path))
-@option("--json", "as_json", is_flag=True, help="Print JSON.")
+@json_option
 def check(settings: Path, as_json: bool) -> None:
     """Check a settings file without starting anything; reports all faults."""
-    try:
-        loaded = load_settings(settings)
-    except InvalidSettingsError as error:
-        if not as_json:
-            raise
-        echo(dumps({"valid": False, "faults": error.faults}).decode())
-        sys.exit(ExitCode.INVALID)
+    loaded = load_settings(settings)
     if as_json:
         report = {"valid": True, "settings": describe_settings(loaded)}
         echo(dumps(report).decode())
@@ -60,3 +51,6 @@
 
 
 main.add_command(fake)
+main.add_command(record)
+main.add_command(status)
+main.add_command(explain)
--- a/basilwick/core/configuration.py
+++ b/basilwick/core/configuration.py
@@ -147,6 +147,10 @@
         """Return the newest known entry of a key."""
         return self._entries.get(key)
 
+    def list_entries(self) -> list[Entry]:
+        """Return the newest known entries of all keys, ordered by key."""
+        return [self._entries[key] for key in sorted(self._entries)]
+
     def get_record(self, key: str) -> Record | None:
         """Return the record in force under a platform key."""
         return self._records.get(key)
--- a/basilwick/core/errors.py
+++ b/basilwick/core/errors.py
@@ -168,11 +168,14 @@
     ----------
     revision : int
         Revision now stored.
+    diff : list of str
+        What the refused change would change in the stored record.
     """
 
-    def __init__(self, message: str, revision: int):
+    def __init__(self, message: str, revision: int, diff: Sequence[str] = ()):
         super().__init__(message)
         self.revision = revision
+        self.diff = list(diff)
 
 
 class InvalidRecordError(BasilwickError):
--- a/basilwick/fakes/platform.py
+++ b/basilwick/fakes/platform.py
@@ -150,7 +150,7 @@
         response = await handler(request)
         if self.faults.lose_write_answers and request.method != "GET":
             request.transport.close()
-        elif self.faults.down:
+        elif self.faults.down and request.path == "/watch":
             # The outage began while a watch was waiting.
             return web.Response(status=503)
         return response
