--- a/basilwick/cli/fake.py
+++ b/basilwick/cli/fake.py
@@ -11,11 +11,18 @@
 
 from basilwick.cli.process import run_until_signal
 from basilwick.fakes.backend import FakeBackend
+from basilwick.fakes.baseline import BaselineRouter
 from basilwick.fakes.platform import FakePlatform
 from basilwick.fakes.proxy import FaultProxy
 
 __all__ = ["fake"]
 
+_RECORDS = option(
+    "--records",
+    type=PathType(exists=True, path_type=Path),
+    help="JSON file with a list of records to start with.",
+)
+
 
 @group()
 def fake() -> None:
@@ -24,11 +31,7 @@
 
 @fake.command()
 @option("--port", type=int, required=True, help="Port on 127.0.0.1.")
-@option(
-    "--records",
-    type=PathType(exists=True, path_type=Path),
-    help="JSON file with a list of records to start with.",
-)
+@_RECORDS
 def platform(port: int, records: Path | None) -> None:
     """Run the platform's key-value service."""
     service = FakePlatform(port=port)
@@ -40,16 +43,70 @@
 @fake.command()
 @option("--name", required=True, help="Name of the server.")
 @option("--port", type=int, required=True, help="Port on 127.0.0.1.")
-def backend(name: str, port: int) -> None:
-    """Run a backend server."""
-    asyncio.run(run_until_signal(FakeBackend(name, port=port)))
+@option("--service-time-ms", type=float, default=1.0, help="Time of a request.")
+@option("--slots", type=int, default=4, help="Requests that run at once.")
+@option("--connections", type=int, default=120, help="Connections accepted.")
+@option("--checks-grants", is_flag=True, help="Refuse requests without a grant.")
+@option("--reports-clock", is_flag=True, help="Report the clock, honour expiries.")
+@option("--cold", is_flag=True, help="Start cold.")
+@option(
+    "--runs",
+    type=PathType(dir_okay=False, path_type=Path),
+    help="File that keeps the record of operations run.",
+)
+def backend(
+    name: str,
+    port: int,
+    service_time_ms: float,
+    slots: int,
+    connections: int,
+    checks_grants: bool,
+    reports_clock: bool,
+    cold: bool,
+    runs: Path | None,
+) -> None:
+    """Run a backend server; PUT /faults on its port changes its faults."""
+    server = FakeBackend(
+        name,
+        port=port,
+        service_time_s=service_time_ms / 1000,
+        slots=slots,
+        connections=connections,
+        checks_grants=checks_grants,
+        reports_clock=reports_clock,
+        cold=cold,
+        runs_path=runs,
+    )
+    asyncio.run(run_until_signal(server))
 
 
 @fake.command()
 @option("--target", required=True, help="IP number and port to forward to.")
 @option("--port", type=int, required=True, help="Port on 127.0.0.1.")
+@option("--control-port", type=int, help="Port on 127.0.0.1 for PUT /faults.")
 @option("--delay-ms", type=float, default=0.0, help="One-way delay.")
-def proxy(target: str, port: int, delay_ms: float) -> None:
+def proxy(target: str, port: int, control_port: int | None, delay_ms: float) -> None:
     """Run a TCP proxy that brings about network faults."""
-    service = FaultProxy(target, port=port, delay_s=delay_ms / 1000)
+    service = FaultProxy(
+        target, port=port, delay_s=delay_ms / 1000, control_port=control_port
+    )
+    asyncio.run(run_until_signal(service))
+
+
+@fake.command()
+@option("--port", type=int, required=True, help="Port on 127.0.0.1.")
+@option("--connections", type=int, default=120, help="Connections to each server.")
+@option("--timeout-ms", type=float, default=1000.0, help="Time of each attempt.")
+@_RECORDS
+def baseline(
+    port: int, connections: int, timeout_ms: float, records: Path | None
+) -> None:
+    """Run a plain router to compare with."""
+    servers: dict[str, list[str]] = {}
+    for record in loads(records.read_bytes()) if records else ():
+        if record["kind"] == "server":
+            servers.setdefault(record["service"], []).append(record["address"])
+    service = BaselineRouter(
+        servers, port=port, connections=connections, timeout_s=timeout_ms / 1000
+    )
     asyncio.run(run_until_signal(service))
--- a/basilwick/fakes/backend.py
+++ b/basilwick/fakes/backend.py
@@ -3,16 +3,96 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from hashlib import sha256
+from random import Random
+from time import monotonic
+from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
+from uuid import uuid4
 
 from aiohttp import web
-from attrs import define, field
-from orjson import dumps
+from attrs import define, evolve, field, fields_dict
+from orjson import dumps, loads
 
-__all__ = ["FakeBackend"]
+from basilwick.fakes.grants import GrantTable
+from basilwick.fakes.runs import RunRecord
+from basilwick.fakes.warmth import Warmth
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["BackendFaults", "FakeBackend"]
+
+_FREEZE_POLL_S = 0.005
+_NOT_RUN = {"Basilwick-Run": "not-run"}
+
+
+@define
+class BackendFaults:
+    """Faults that the stand-in brings about.
+
+    Attributes
+    ----------
+    slowdown : float
+        Factor on the time of every request.
+    frozen : bool
+        Whether the server accepts connections and answers nothing; when this ends it
+        goes on with all that arrived, as a process that was stopped does.
+    draining : bool
+        Whether the server refuses new requests and finishes the running ones.
+    shedding : float
+        Share of requests that the server refuses with 429.
+    load_lag_s : float
+        Age of the values that ``/load`` reports, in seconds.
+    load_report : dict, optional
+        Values that ``/load`` reports instead of the true ones.
+    """
+
+    slowdown: float = 1.0
+    frozen: bool = False
+    draining: bool = False
+    shedding: float = 0.0
+    load_lag_s: float = 0.0
+    load_report: dict[str, Any] | None = None
 
 
 @define
+class _Refused(Exception):
+    status: int
+    reason: str
+
+
+@define
+class _Order:
+    """What a request asks the server to run."""
+
+    service: str
+    shard: int
+    shard_text: str
+    key: str
+    fence: int
+    token: str
+    expires_at_ms: float | None
+    deadline_at: float | None
+
+
+class _LimitingProtocol(asyncio.Protocol):
+    """Closes a connection above the limit, else passes it to the HTTP protocol."""
+
+    def __init__(self, server: web.Server, limit: int):
+        self._http = server
+        self._limit = limit
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        if len(self._http.connections) >= self._limit:
+            transport.close()
+            return
+        protocol = self._http()
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
+
+
+@define(eq=False)
 class FakeBackend:
     """Backend server that answers every request after a service time.
 
@@ -25,50 +105,287 @@
     port : int
         Port to listen on; 0 takes a free one.
     service_time_s : float
-        Time that a request takes, in seconds.
+        Time that a request takes on a warm server, in seconds.
+    slots : int
+        Requests that run at once.
+    connections : int
+        Connections accepted; further ones are closed.
+    checks_grants : bool
+        Whether requests without a valid grant or with another fence are refused.
+    reports_clock : bool
+        Whether the server reports its clock and honours expiries on it.
+    cold : bool
+        Whether the server starts cold.
+    runs_path : Path, optional
+        File that keeps the record of runs over a restart.
+    faults : BackendFaults
+        Faults, set while the server runs.
     """
 
     name: str
     host: str = "127.0.0.1"
     port: int = 0
     service_time_s: float = 0.001
-    runs: Counter[str] = field(factory=Counter)
+    slots: int = 4
+    connections: int = 120
+    checks_grants: bool = False
+    reports_clock: bool = False
+    cold: bool = False
+    runs_path: Path | None = None
+    faults: BackendFaults = field(factory=BackendFaults)
+    incarnation: str = ""
+    record: RunRecord = field(init=False)
+    warmth: Warmth = field(init=False)
+    grants: GrantTable = field(init=False)
+    _rng: Random = field(factory=Random)
+    _free: asyncio.Semaphore = field(init=False)
+    _running: int = 0
+    _waiting: int = 0
+    _loads: list[tuple[float, dict[str, Any]]] = field(factory=list)
+    _clock_start: float = 0.0
+    _server: asyncio.Server | None = None
     _runner: web.AppRunner | None = None
 
+    def __attrs_post_init__(self) -> None:
+        self.record = RunRecord(self.name, self.runs_path)
+
     @property
     def address(self) -> str:
         """IP number and port that the server listens on."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def clock_ms(self) -> float:
+        """Monotonic clock of the server, which starts anew with each incarnation."""
+        return (monotonic() - self._clock_start) * 1000
+
     async def start(self) -> None:
-        """Listen."""
+        """Listen as a new incarnation, without any grant."""
+        self.incarnation = uuid4().hex
+        # An origin of its own shows code that mixes clocks of two machines.
+        self._clock_start = monotonic() - self._rng.uniform(0, 1_000_000)
+        self.grants = GrantTable()
+        self.warmth = Warmth(self.slots, 0.0 if self.cold else 1.0)
+        self._free = asyncio.Semaphore(self.slots)
+        self.record.open()
         app = web.Application(client_max_size=1 << 30)
+        app.router.add_get("/grants", self._report_grants)
+        app.router.add_put("/grants", self._take_grants)
+        app.router.add_get("/load", self._report_load)
+        app.router.add_get("/runs", self._report_runs)
+        app.router.add_put("/faults", self._set_faults)
         app.router.add_route("*", "/{path:.*}", self._answer)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, self.port, shutdown_timeout=0.1)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        http = self._runner.server
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _LimitingProtocol(http, self.connections), self.host, self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
         if self._runner is not None:
             await self._runner.cleanup()
+        self.record.close()
+
+    def turn_cold(self) -> None:
+        """Lose all warmth without any sign to callers."""
+        self.warmth = Warmth(self.slots, 0.0)
+
+    def set_faults(self, changes: dict[str, Any]) -> None:
+        """Change some faults; ``cold`` turns the server cold once."""
+        if changes.pop("cold", False):
+            self.turn_cold()
+        unknown = set(changes) - set(fields_dict(BackendFaults))
+        if unknown:
+            raise ValueError(f"no faults {sorted(unknown)}; see BackendFaults")
+        self.faults = evolve(self.faults, **changes)
+
+    async def _wait_while_frozen(self) -> None:
+        # Polled because tests set the attribute.
+        while self.faults.frozen:  # noqa: ASYNC110
+            await asyncio.sleep(_FREEZE_POLL_S)
 
     async def _answer(self, request: web.Request) -> web.Response:
-        body_bytes = 0
-        async for chunk in request.content.iter_chunked(65536):
-            body_bytes += len(chunk)
-        await asyncio.sleep(self.service_time_s)
-        self.runs[request.headers.get("Basilwick-Token", "")] += 1
+        frozen_on_arrival = self.faults.frozen
+        work = asyncio.ensure_future(self._process(request))
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            # A process that was stopped may start on a request before it notices that
+            # the connection was closed.
+            if not (frozen_on_arrival or self.faults.frozen):
+                work.cancel()
+            raise
+
+    async def _process(self, request: web.Request) -> web.Response:
+        await self._wait_while_frozen()
+        arrived_at = monotonic()
+        headers = {"Basilwick-Attempt": request.headers.get("Basilwick-Attempt", "")}
+        try:
+            order = _read_order(request, arrived_at)
+            self._refuse_early(order)
+            digest = sha256()
+            body_bytes = 0
+            async for chunk in request.content.iter_chunked(65536):
+                body_bytes += len(chunk)
+                digest.update(chunk)
+            await self._run(order)
+        except _Refused as refused:
+            return _respond(
+                {"refused": refused.reason}, refused.status, headers | _NOT_RUN
+            )
+        await self._wait_while_frozen()
+        if self.reports_clock:
+            headers["Basilwick-Clock-Ms"] = str(int(self.clock_ms))
         answer = {
             "server": self.name,
-            "path": request.path,
+            "path": request.raw_path,
             "fence": request.headers.get("Basilwick-Fence"),
+            "token": order.token,
             "body_bytes": body_bytes,
+            "body_sha256": digest.hexdigest(),
+        }
+        return _respond(answer, headers=headers)
+
+    def _refuse_early(self, order: _Order) -> None:
+        if self.faults.draining:
+            raise _Refused(503, "draining")
+        if self.faults.shedding and self._rng.random() < self.faults.shedding:
+            raise _Refused(429, "shedding load")
+        if self.warmth.falls_over(self._running + self._waiting):
+            self.warmth.record_overload()
+            raise _Refused(503, "cold")
+        if self._running + self._waiting >= self.connections:
+            raise _Refused(429, "queue is full")
+        self._check(order)
+
+    def _check(self, order: _Order) -> None:
+        if order.deadline_at is not None and monotonic() >= order.deadline_at:
+            raise _Refused(503, "deadline passed")
+        clock_ms = self.clock_ms
+        expires_at_ms = order.expires_at_ms if self.reports_clock else None
+        if expires_at_ms is not None and clock_ms >= expires_at_ms:
+            raise _Refused(409, "request expired")
+        if not self.checks_grants:
+            return
+        objection = self.grants.find_objection(
+            order.service, order.shard, order.key, order.fence, clock_ms
+        )
+        if objection is not None:
+            raise _Refused(409, objection)
+
+    async def _run(self, order: _Order) -> None:
+        self._waiting += 1
+        self._note_load()
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            await self._wait_while_frozen()
+            # Time passed in the queue, so the rights are tested again at the start.
+            self._check(order)
+            # The effect comes first: a connection lost from here on leaves the
+            # operation done, which is the harder case for the router.
+            self.record.add(order.shard_text, order.key, order.fence, order.token)
+            factor = self.faults.slowdown * self.warmth.get_factor(
+                self._running + self._waiting
+            )
+            await asyncio.sleep(self.service_time_s * factor)
+            self.warmth.record_success()
+        finally:
+            self._running -= 1
+            self._free.release()
+            self._note_load()
+
+    def _note_load(self) -> None:
+        if self.faults.load_lag_s:
+            self._loads.append((monotonic(), self._describe_load()))
+
+    def _describe_load(self) -> dict[str, Any]:
+        return {
+            "in_flight": self._running,
+            "queue": self._waiting,
+            "temperature": self.warmth.describe(),
         }
-        return web.Response(
-            body=dumps(answer),
-            content_type="application/json",
-            headers={"Basilwick-Attempt": request.headers["Basilwick-Attempt"]},
+
+    async def _report_load(self, request: web.Request) -> web.Response:
+        await self._wait_while_frozen()
+        if self.faults.load_report is not None:
+            return _respond(self.faults.load_report)
+        if self.faults.load_lag_s:
+            before = monotonic() - self.faults.load_lag_s
+            while len(self._loads) > 1 and self._loads[1][0] <= before:
+                self._loads.pop(0)
+            if self._loads:
+                return _respond(self._loads[0][1])
+        return _respond(self._describe_load())
+
+    async def _report_grants(self, request: web.Request) -> web.Response:
+        await self._wait_while_frozen()
+        if not (self.checks_grants or self.reports_clock):
+            return _respond({}, status=404)
+        return _respond(
+            {
+                "clock_ms": int(self.clock_ms),
+                "incarnation": self.incarnation,
+                "checks": self.checks_grants,
+                "digest": self.grants.digest,
+            }
         )
+
+    async def _take_grants(self, request: web.Request) -> web.Response:
+        await self._wait_while_frozen()
+        if self.checks_grants:
+            self.grants.apply(loads(await request.read()))
+        return await self._report_grants(request)
+
+    async def _report_runs(self, request: web.Request) -> web.Response:
+        return _respond(self.record.describe())
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        try:
+            self.set_faults(loads(await request.read()))
+        except ValueError as error:
+            return _respond({"error": str(error)}, status=400)
+        return _respond({})
+
+
+def _read_order(request: web.Request, arrived_at: float) -> _Order:
+    headers = request.headers
+    shard_text = headers.get("Basilwick-Shard", "")
+    service, _, shard = shard_text.partition("/")
+    # Paths are /v1/<service>/<key>[/<rest>].
+    parts = request.raw_path.partition("?")[0].split("/")
+    expires_at = headers.get("Basilwick-Expires-At")
+    deadline_ms = headers.get("Basilwick-Deadline-Ms")
+    return _Order(
+        service=service,
+        shard=int(shard or -1),
+        shard_text=shard_text,
+        key=unquote(parts[3]) if len(parts) > 3 else "",
+        fence=int(headers.get("Basilwick-Fence", 0)),
+        token=headers.get("Basilwick-Token", ""),
+        expires_at_ms=None if expires_at is None else float(expires_at),
+        deadline_at=None
+        if deadline_ms is None
+        else arrived_at + float(deadline_ms) / 1000,
+    )
+
+
+def _respond(
+    data: Any, status: int = 200, headers: dict[str, str] | None = None
+) -> web.Response:
+    return web.Response(
+        body=dumps(data),
+        status=status,
+        content_type="application/json",
+        headers=headers,
+    )
