--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,20 @@
+"""Metrics must keep a bounded number of series."""
+
+from __future__ import annotations
+
+from basilwick.metrics import Metrics
+
+
+def test_series_do_not_grow_with_servers_or_unknown_services():
+    # Guards against memory that grows with names that callers invent, and with
+    # servers that an instance served once.
+    metrics = Metrics()
+    metrics.observe_request(None, "idempotent", "unknown_service", 0.001)
+    before = len(metrics.render().splitlines())
+    for number in range(100):
+        metrics.observe_request(None, "idempotent", "unknown_service", 0.001)
+        metrics.server_limit.labels(f"s-{number}").set(1)
+        metrics.server_in_flight.labels(f"s-{number}").set(1)
+        metrics.server_queue.labels(f"s-{number}").set(1)
+        metrics.forget_servers([f"s-{number}"])
+    assert len(metrics.render().splitlines()) == before
