--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -8,6 +8,7 @@
 from click import Path as PathType
 from click import argument, group
 
+from basilwick.cli.demo import demo
 from basilwick.cli.fake import fake
 from basilwick.cli.process import run_until_signal
 from basilwick.runtime.instance import Instance
@@ -28,4 +29,5 @@
     asyncio.run(run_until_signal(Instance(load_settings(settings))))
 
 
+main.add_command(demo)
 main.add_command(fake)
