--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test format lint check generate archive
+.PHONY: setup demo test format lint check generate archive check-archive
 
 setup: $(STAMP)
 
@@ -36,6 +36,12 @@
 		basilwick/transport/messages.proto
 
 # One file that holds the program and its libraries; needs a Python 3.11 interpreter.
+# A build directory left by an earlier build would add modules removed since.
 archive: setup
+	rm -rf build
 	mkdir -p dist
-	$(VENV)/bin/shiv --quiet --console-script basilwick --output-file dist/basilwick .
+	$(VENV)/bin/shiv --quiet --reproducible --console-script basilwick \
+		--output-file dist/basilwick --constraint requirements.lock .
+
+check-archive: archive
+	$(VENV)/bin/pytest checks/test_archive.py
