--- a/basilwick/fakes/baseline.py
+++ b/basilwick/fakes/baseline.py
@@ -53,7 +53,7 @@
         """Listen."""
         for service, addresses in self.servers.items():
             self._rings[service] = sorted(
-                (xxh3_64_intdigest(f"{address}\0{point}"), address)
+                (xxh3_64_intdigest(f"{address}\0{point}".encode()), address)
                 for address in addresses
                 for point in range(_POINTS_PER_SERVER)
             )
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with real processes; each module is one command."""
