Add five more measurements with real processes

Data centre out, unavailable time, cold start, configuration spread and runs per at-most-once operation.

--- a/basilwick/fakes/backend.py
+++ b/basilwick/fakes/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from hashlib import sha256
 from random import Random
 from time import monotonic
@@ -11,7 +12,7 @@
 from uuid import uuid4
 
 from aiohttp import web
-from attrs import define, evolve, field, fields_dict
+from attrs import asdict, define, evolve, field, fields_dict
 from orjson import dumps, loads
 
 from basilwick.fakes.grants import GrantTable
@@ -141,7 +142,7 @@
     _free: asyncio.Semaphore = field(init=False)
     _running: int = 0
     _waiting: int = 0
-    _loads: list[tuple[float, dict[str, Any]]] = field(factory=list)
+    _loads: deque[tuple[float, dict[str, Any]]] = field(factory=deque)
     _clock_start: float = 0.0
     _server: asyncio.Server | None = None
     _runner: web.AppRunner | None = None
@@ -173,6 +174,7 @@
         app.router.add_put("/grants", self._take_grants)
         app.router.add_get("/load", self._report_load)
         app.router.add_get("/runs", self._report_runs)
+        app.router.add_get("/warmth", self._report_warmth)
         app.router.add_put("/faults", self._set_faults)
         app.router.add_route("*", "/{path:.*}", self._answer)
         self._runner = web.AppRunner(
@@ -308,6 +310,13 @@
     def _note_load(self) -> None:
         if self.faults.load_lag_s:
             self._loads.append((monotonic(), self._describe_load()))
+            self._forget_loads()
+
+    def _forget_loads(self) -> None:
+        """Keep the newest load that is old enough to report, and later ones."""
+        before = monotonic() - self.faults.load_lag_s
+        while len(self._loads) > 1 and self._loads[1][0] <= before:
+            self._loads.popleft()
 
     def _describe_load(self) -> dict[str, Any]:
         return {
@@ -320,12 +329,9 @@
         await self._wait_while_frozen()
         if self.faults.load_report is not None:
             return _respond(self.faults.load_report)
-        if self.faults.load_lag_s:
-            before = monotonic() - self.faults.load_lag_s
-            while len(self._loads) > 1 and self._loads[1][0] <= before:
-                self._loads.pop(0)
-            if self._loads:
-                return _respond(self._loads[0][1])
+        if self.faults.load_lag_s and self._loads:
+            self._forget_loads()
+            return _respond(self._loads[0][1])
         return _respond(self._describe_load())
 
     async def _report_grants(self, request: web.Request) -> web.Response:
@@ -350,6 +356,9 @@
     async def _report_runs(self, request: web.Request) -> web.Response:
         return _respond(self.record.describe())
 
+    async def _report_warmth(self, request: web.Request) -> web.Response:
+        return _respond(asdict(self.warmth))
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         try:
             self.set_faults(loads(await request.read()))
--- a/basilwick/fakes/warmth.py
+++ b/basilwick/fakes/warmth.py
@@ -23,10 +23,16 @@
         Requests that the warm server runs at once.
     value : float
         0 when cold, 1 when warm.
+    fall_overs : int
+        Requests refused because the cold server had too many.
+    peak_over_bearable : float
+        Most requests at once while cold, as a multiple of what the server bore.
     """
 
     slots: int
     value: float = 1.0
+    fall_overs: int = 0
+    peak_over_bearable: float = 0.0
 
     @property
     def bearable(self) -> float:
@@ -35,7 +41,11 @@
 
     def falls_over(self, present: int) -> bool:
         """Return whether one more request is too much for a cold server."""
-        return self.value < 1 and present + 1 > 2 * self.bearable
+        if self.value >= 1:
+            return False
+        share = (present + 1) / self.bearable
+        self.peak_over_bearable = max(self.peak_over_bearable, share)
+        return share > 2
 
     def get_factor(self, present: int) -> float:
         """Return the factor on the time of a request among ``present`` ones."""
@@ -51,6 +61,7 @@
 
     def record_overload(self) -> None:
         """Lose half the warmth."""
+        self.fall_overs += 1
         self.value /= 2
 
     def describe(self) -> str:
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -1,20 +1,19 @@
-"""Starts a site of real processes and reports measurements."""
+"""Starts and controls a site of real processes."""
 
 from __future__ import annotations
 
 import asyncio
 from contextlib import asynccontextmanager
 from pathlib import Path
-from sys import stderr, stdout
+from sys import stderr
 from tempfile import TemporaryDirectory
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 from uuid import uuid4
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
-from attrs import define, field, frozen
-from hdrh.histogram import HdrHistogram
-from orjson import OPT_INDENT_2, OPT_SORT_KEYS, dumps, loads
+from attrs import define, field
+from orjson import dumps, loads
 
 from basilwick.fakes.runs import Run, read_runs
 from basilwick.testing import (
@@ -27,90 +26,14 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterable, Sequence
-
-    from basilwick.fakes.callers import Result
-
-__all__ = [
-    "HINOKUNI",
-    "VARAL",
-    "BackendProcess",
-    "InstanceProcess",
-    "ServiceSpec",
-    "Site",
-    "SiteSpec",
-    "build_histogram",
-    "print_report",
-    "run_site",
-    "summarize_kinds",
-    "summarize_latency",
-]
-
-_SHARED_KEY = "measurement"
-_START_TIMEOUT_S = 15.0
+    from collections.abc import AsyncIterator
 
+    from benchmarks.sites import SiteSpec
 
-@frozen
-class ServiceSpec:
-    """A service and its backend servers in all data centres together."""
+__all__ = ["BackendProcess", "InstanceProcess", "Site", "run_site"]
 
-    name: str
-    servers: int
-    slots: int
-    connections: int
-    service_time_ms: float = 2.0
-    keys: int = 2000
-
-    def list_keys(self) -> list[str]:
-        """Return the keys that callers ask for."""
-        return [f"{self.name}-{number}" for number in range(self.keys)]
-
-
-@frozen
-class SiteSpec:
-    """What a site consists of.
-
-    Attributes
-    ----------
-    client_delay_ms : float
-        One-way delay between callers and instances.
-    checks_grants : bool
-        Whether the servers check grants and report their clock.
-    baselines : int
-        Number of plain routers that run beside the instances.
-    not_simulated : tuple of str
-        Differences from the user's site, for the report.
-    """
-
-    data_centres: int
-    instances_per_data_centre: int
-    services: tuple[ServiceSpec, ...]
-    client_delay_ms: float = 0.0
-    checks_grants: bool = False
-    baselines: int = 0
-    not_simulated: tuple[str, ...] = ("delay between data centres",)
-
-
-HINOKUNI = SiteSpec(
-    data_centres=3,
-    instances_per_data_centre=4,
-    services=(
-        ServiceSpec("clue", 20, 4, 120),
-        ServiceSpec("redemption", 7, 4, 120),
-        ServiceSpec("packs", 6, 4, 120),
-    ),
-    client_delay_ms=8.0,
-)
-VARAL = SiteSpec(
-    data_centres=4,
-    instances_per_data_centre=3,
-    services=(
-        ServiceSpec("catalogue", 20, 2, 130),
-        ServiceSpec("cutting", 10, 2, 130),
-        ServiceSpec("stock", 8, 2, 130),
-    ),
-    client_delay_ms=3.0,
-)
+_SHARED_KEY = "measurement"
+_START_TIMEOUT_S = 15.0
 
 
 @define(eq=False)
@@ -338,6 +261,10 @@
         """Read from the admin port of an instance."""
         return await self._get(self.instances[instance].admin_address, path)
 
+    async def get_server(self, name: str, path: str) -> Any:
+        """Read from a backend server."""
+        return await self._get(f"127.0.0.1:{self.servers[name].port}", path)
+
     async def _get(self, address: str, path: str) -> Any:
         headers = {"Authorization": f"Bearer {_SHARED_KEY}"}
         async with self.session.get(
@@ -401,44 +328,3 @@
         if not process.running:
             tail = process.output.read_text(errors="replace")[-2000:]
             stderr.write(f"{' '.join(process.arguments)} ended:\n{tail}\n")
-
-
-def build_histogram(results: Iterable[Result]) -> HdrHistogram:
-    """Return a histogram of the time from intended sending to the end, in us."""
-    histogram = HdrHistogram(1, 120_000_000, 3)
-    for result in results:
-        histogram.record_value(
-            max(1, round((result.ended_at - result.intended_at) * 1e6))
-        )
-    return histogram
-
-
-def summarize_latency(results: Sequence[Result]) -> dict[str, float]:
-    """Return count and percentiles in milliseconds."""
-    histogram = build_histogram(results)
-    summary: dict[str, float] = {"requests": len(results)}
-    for percentile in (50, 99, 99.9):
-        value = histogram.get_value_at_percentile(percentile) / 1000
-        summary[f"p{percentile:g}_ms"] = round(value, 2)
-    return summary
-
-
-def summarize_kinds(results: Iterable[Result]) -> dict[str, int]:
-    """Return the number of results of each kind."""
-    counts: dict[str, int] = {}
-    for result in results:
-        counts[result.kind] = counts.get(result.kind, 0) + 1
-    return dict(sorted(counts.items()))
-
-
-def print_report(
-    name: str, data: dict[str, Any], header: Sequence[str], rows: Iterable[Sequence]
-) -> None:
-    """Print all data as JSON, then a short table."""
-    text = dumps({"benchmark": name} | data, option=OPT_INDENT_2 | OPT_SORT_KEYS)
-    stdout.write(text.decode() + "\n\n")
-    lines = [[str(cell) for cell in row] for row in (header, *rows)]
-    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
-    for line in lines:
-        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
-        stdout.write("  ".join(cells).rstrip() + "\n")
--- a/benchmarks/tail_latency.py
+++ b/benchmarks/tail_latency.py
@@ -12,13 +12,9 @@
 from click import command, option
 
 from basilwick.fakes.callers import Callers, Operation
-from benchmarks.harness import (
-    HINOKUNI,
-    print_report,
-    run_site,
-    summarize_kinds,
-    summarize_latency,
-)
+from benchmarks.harness import run_site
+from benchmarks.report import print_report, summarize_kinds, summarize_latency
+from benchmarks.sites import HINOKUNI
 
 if TYPE_CHECKING:
     from benchmarks.harness import Site
