--- a/basilwick/cli/demo_site.py
+++ b/basilwick/cli/demo_site.py
@@ -34,7 +34,7 @@
 _DATA_CENTRES = ("dc-a", "dc-b")
 _INSTANCES_PER_DATA_CENTRE = 3
 _SERVERS = {"clue": 4, "orders": 2}
-_SHARED_KEY = "demonstration"
+_SHARED_KEY = "demonstration-key"
 _START_TIMEOUT_S = 8.0
 
 
--- a/basilwick/fakes/backend.py
+++ b/basilwick/fakes/backend.py
@@ -8,7 +8,6 @@
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING, Any
-from urllib.parse import unquote
 from uuid import uuid4
 
 from aiohttp import web
@@ -16,6 +15,7 @@
 from orjson import dumps, loads
 
 from basilwick.fakes.grants import GrantTable
+from basilwick.fakes.orders import Order, RefusedError, read_order
 from basilwick.fakes.runs import RunRecord
 from basilwick.fakes.warmth import Warmth
 
@@ -57,26 +57,6 @@
     load_report: dict[str, Any] | None = None
 
 
-@define
-class _Refused(Exception):
-    status: int
-    reason: str
-
-
-@define
-class _Order:
-    """What a request asks the server to run."""
-
-    service: str
-    shard: int
-    shard_text: str
-    key: str
-    fence: int
-    token: str
-    expires_at_ms: float | None
-    deadline_at: float | None
-
-
 class _LimitingProtocol(asyncio.Protocol):
     """Closes a connection above the limit, else passes it to the HTTP protocol."""
 
@@ -230,7 +210,7 @@
         arrived_at = monotonic()
         headers = {"Basilwick-Attempt": request.headers.get("Basilwick-Attempt", "")}
         try:
-            order = _read_order(request, arrived_at)
+            order = read_order(request, arrived_at)
             self._refuse_early(order)
             digest = sha256()
             body_bytes = 0
@@ -238,7 +218,7 @@
                 body_bytes += len(chunk)
                 digest.update(chunk)
             await self._run(order)
-        except _Refused as refused:
+        except RefusedError as refused:
             return _respond(
                 {"refused": refused.reason}, refused.status, headers | _NOT_RUN
             )
@@ -255,34 +235,34 @@
         }
         return _respond(answer, headers=headers)
 
-    def _refuse_early(self, order: _Order) -> None:
+    def _refuse_early(self, order: Order) -> None:
         if self.faults.draining:
-            raise _Refused(503, "draining")
+            raise RefusedError(503, "draining")
         if self.faults.shedding and self._rng.random() < self.faults.shedding:
-            raise _Refused(429, "shedding load")
+            raise RefusedError(429, "shedding load")
         if self.warmth.falls_over(self._running + self._waiting):
             self.warmth.record_overload()
-            raise _Refused(503, "cold")
+            raise RefusedError(503, "cold")
         if self._running + self._waiting >= self.connections:
-            raise _Refused(429, "queue is full")
+            raise RefusedError(429, "queue is full")
         self._check(order)
 
-    def _check(self, order: _Order) -> None:
+    def _check(self, order: Order) -> None:
         if order.deadline_at is not None and monotonic() >= order.deadline_at:
-            raise _Refused(503, "deadline passed")
+            raise RefusedError(503, "deadline passed")
         clock_ms = self.clock_ms
         expires_at_ms = order.expires_at_ms if self.reports_clock else None
         if expires_at_ms is not None and clock_ms >= expires_at_ms:
-            raise _Refused(409, "request expired")
+            raise RefusedError(409, "request expired")
         if not self.checks_grants:
             return
         objection = self.grants.find_objection(
             order.service, order.shard, order.key, order.fence, clock_ms
         )
         if objection is not None:
-            raise _Refused(409, objection)
+            raise RefusedError(409, objection)
 
-    async def _run(self, order: _Order) -> None:
+    async def _run(self, order: Order) -> None:
         self._waiting += 1
         self._note_load()
         try:
@@ -367,28 +347,6 @@
         return _respond({})
 
 
-def _read_order(request: web.Request, arrived_at: float) -> _Order:
-    headers = request.headers
-    shard_text = headers.get("Basilwick-Shard", "")
-    service, _, shard = shard_text.partition("/")
-    # Paths are /v1/<service>/<key>[/<rest>].
-    parts = request.raw_path.partition("?")[0].split("/")
-    expires_at = headers.get("Basilwick-Expires-At")
-    deadline_ms = headers.get("Basilwick-Deadline-Ms")
-    return _Order(
-        service=service,
-        shard=int(shard or -1),
-        shard_text=shard_text,
-        key=unquote(parts[3]) if len(parts) > 3 else "",
-        fence=int(headers.get("Basilwick-Fence", 0)),
-        token=headers.get("Basilwick-Token", ""),
-        expires_at_ms=None if expires_at is None else float(expires_at),
-        deadline_at=None
-        if deadline_ms is None
-        else arrived_at + float(deadline_ms) / 1000,
-    )
-
-
 def _respond(
     data: Any, status: int = 200, headers: dict[str, str] | None = None
 ) -> web.Response:
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -9,7 +9,6 @@
 from tempfile import TemporaryDirectory
 from time import monotonic
 from typing import TYPE_CHECKING, Any
-from uuid import uuid4
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from attrs import define, field
@@ -32,7 +31,7 @@
 
 __all__ = ["BackendProcess", "InstanceProcess", "Site", "run_site"]
 
-_SHARED_KEY = "measurement"
+_SHARED_KEY = "measurement-shared-key"
 _START_TIMEOUT_S = 15.0
 
 
@@ -240,22 +239,23 @@
         await self._put(f"127.0.0.1:{self.platform_port}", "/faults", faults)
 
     async def change_record(self, kind: str, name: str, **changes: Any) -> int:
-        """Write a record in the platform as an operator's tool does.
+        """Put a record through the admin port of an instance, as an operator does.
 
         Returns
         -------
         int
             Revision of the write.
         """
-        address = f"127.0.0.1:{self.platform_port}"
-        path = f"/kv/records/{kind}/{name}"
+        address = self.find_running().admin_address
+        path = f"/records/{kind}/{name}"
         stored = await self._get(address, path)
-        body = {
-            "value": dumps(loads(stored["value"]) | changes).decode(),
-            "expected": stored["revision"],
-            "write_id": uuid4().hex,
-        }
-        return (await self._put(address, path, body))["revision"]
+        record = stored["record"] | changes
+        path += f"?expected={stored['revision']}"
+        return (await self._put(address, path, record))["revision"]
+
+    def find_running(self) -> InstanceProcess:
+        """Return an instance whose process runs."""
+        return next(i for i in self.instances.values() if i.process.running)
 
     async def get_admin(self, instance: str, path: str) -> Any:
         """Read from the admin port of an instance."""
@@ -266,10 +266,7 @@
         return await self._get(f"127.0.0.1:{self.servers[name].port}", path)
 
     async def _get(self, address: str, path: str) -> Any:
-        headers = {"Authorization": f"Bearer {_SHARED_KEY}"}
-        async with self.session.get(
-            f"http://{address}{path}", headers=headers
-        ) as response:
+        async with self.session.get(f"http://{address}{path}") as response:
             response.raise_for_status()
             return loads(await response.read())
 
@@ -311,7 +308,10 @@
         directory = Path(name)
         async with (
             run_processes(directory) as group,
-            ClientSession(timeout=ClientTimeout(total=3)) as session,
+            ClientSession(
+                headers={"Authorization": f"Bearer {_SHARED_KEY}"},
+                timeout=ClientTimeout(total=3),
+            ) as session,
         ):
             site = Site(spec, directory, group, session)
             try:
--- a/benchmarks/unavailable_time.py
+++ b/benchmarks/unavailable_time.py
@@ -14,6 +14,7 @@
 from click import command, option
 from hdrh.histogram import HdrHistogram
 
+from basilwick.core.hashing import assign_bounded
 from basilwick.fakes.callers import Callers
 from basilwick.testing import find_overlapping_owners, wait_for_port
 from benchmarks.harness import run_site
@@ -155,21 +156,21 @@
     site: Site, callers: Callers
 ) -> tuple[str, BackendProcess, InstanceProcess, InstanceProcess]:
     """Return a key, its server, that server's gateway and the block's assigner."""
-    for key in site.spec.services[0].list_keys():
-        where = await _explain(site, key)
-        server = site.servers[where["server"]]
-        return (
-            key,
-            server,
-            site.instances[where["gateway"]],
-            site.instances[where["assigner"]],
-        )
-    raise LookupError("the service has no keys")
-
-
-async def _explain(site: Site, key: str) -> dict[str, Any]:
-    name = next(n for n, i in site.instances.items() if i.process.running)
-    return await site.get_admin(name, f"/explain/clue/{key}")
+    key = site.spec.services[0].list_keys()[0]
+    name = site.find_running().name
+    where = await site.get_admin(name, f"/explain/clue/{key}")
+    members = [
+        instance.name
+        for instance in site.instances.values()
+        if instance.data_centre == where["home"]
+    ]
+    return (
+        key,
+        site.servers[where["owner"]["name"]],
+        site.instances[where["gateway"]["name"]],
+        # The same hash by which instances choose the assigner.
+        site.instances[assign_bounded(["clue"], sorted(members))["clue"]],
+    )
 
 
 async def _list_keys_of(
