--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -9,6 +9,7 @@
 from click import argument, echo, group
 from orjson import dumps
 
+from basilwick.cli.demo import demo
 from basilwick.cli.errors import CommandGroup, json_option
 from basilwick.cli.fake import fake
 from basilwick.cli.process import run_until_signal
@@ -50,6 +51,7 @@
         echo(f"{settings}: valid")
 
 
+main.add_command(demo)
 main.add_command(fake)
 main.add_command(record)
 main.add_command(status)
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements, each one command."""
+"""Measurements with real processes; each module is one command."""
