--- /dev/null
+++ b/tests/core/test_limits.py
@@ -0,0 +1,167 @@
+"""Concurrency limit and queue of one server."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from basilwick.core.errors import ErrorKind, Refusal
+from basilwick.core.limits import (
+    QUEUE_BOUND,
+    RequestClass,
+    Result,
+    ResultKind,
+    ServerLimiter,
+    Ticket,
+)
+
+LOOKUP, ONCE, UPLOAD = RequestClass
+FAST = Result(ResultKind.SUCCESS, 0.01)
+
+
+def _run(limiter, count, now=0.0, latency_s=0.01, kind=ResultKind.SUCCESS):
+    for _ in range(count):
+        ticket = limiter.submit(LOOKUP, now + 100.0, now)
+        now += latency_s
+        limiter.finish(ticket, Result(kind, latency_s), now)
+    return now
+
+
+def _warm(slots=4):
+    limiter = ServerLimiter(slots)
+    limiter.peer_median_s = 0.01
+    now = _run(limiter, 20 * (slots - 1))
+    assert (limiter.limit, limiter.cold) == (slots, False)
+    return limiter, now
+
+
+def test_fresh_server_gets_one_request_at_a_time():
+    # Guards against overloading a cold server through a gateway that took over.
+    limiter = ServerLimiter(4)
+    first = limiter.submit(LOOKUP, 1.0, 0.0)
+    second = limiter.submit(LOOKUP, 1.0, 0.0)
+    assert first.started_at == 0.0 and second.started_at is None
+    assert limiter.finish(first, FAST, 0.01) == [second]
+
+
+def test_slow_answers_do_not_raise_a_cold_limit():
+    # Guards against a ramp that counts successes while the server is still cold.
+    limiter = ServerLimiter(4)
+    limiter.peer_median_s = 0.01
+    now = _run(limiter, 100, latency_s=0.021)
+    assert limiter.limit == 1
+    _run(limiter, 19, now)
+    assert limiter.limit == 1
+    _run(limiter, 1, now)
+    assert limiter.limit == 2
+
+
+def _turn_by_incarnation(limiter, now):
+    limiter.observe_incarnation("a")
+    assert limiter.limit == 4
+    limiter.observe_incarnation("b")
+
+
+def _turn_by_refusals(limiter, now):
+    _run(limiter, 3, now, kind=ResultKind.OVERLOADED)
+
+
+def _turn_by_cold_refusal(limiter, now):
+    _run(limiter, 1, now, kind=ResultKind.COLD)
+
+
+def _turn_by_latency(limiter, now):
+    _run(limiter, 8, now, latency_s=0.05)
+
+
+@pytest.mark.parametrize(
+    "turn",
+    [_turn_by_incarnation, _turn_by_refusals, _turn_by_cold_refusal, _turn_by_latency],
+)
+def test_server_that_turned_cold_gets_one_slot_despite_its_load_report(turn):
+    # Guards against load reports that say warm after a restart or cache loss.
+    limiter, now = _warm()
+    limiter.observe_load("warm")
+    turn(limiter, now)
+    limiter.observe_load("warm")
+    assert (limiter.limit, limiter.cold) == (1, True)
+
+
+def test_single_tail_latency_changes_nothing():
+    # Guards against losing the ramp to one slow answer.
+    limiter, now = _warm()
+    now = _run(limiter, 12, now)
+    _run(limiter, 1, now, latency_s=0.5)
+    assert limiter.limit == 4
+
+
+def test_slow_server_is_slowed_but_not_restarted():
+    # Guards against treating a slowed server at full concurrency, or as cold.
+    limiter, now = _warm()
+    _run(limiter, 8, now, latency_s=0.025)
+    assert 1 < limiter.limit < 4 and not limiter.cold
+
+
+def _fill(limiter, count, request_class=LOOKUP, deadline=1e9):
+    return [limiter.submit(request_class, deadline, 0.0) for _ in range(count)]
+
+
+def test_queue_is_bounded():
+    # Guards against memory and waits that grow with the callers' demand.
+    limiter = ServerLimiter(1)
+    _fill(limiter, 1 + QUEUE_BOUND)
+    refusal = limiter.submit(LOOKUP, 1e9, 0.0)
+    assert refusal.kind is ErrorKind.OVERLOADED and refusal.retry_after_s > 0
+
+
+def test_request_that_cannot_meet_its_deadline_is_refused_early():
+    # Guards against work that waits out its deadline in the queue.
+    limiter = ServerLimiter(1)
+    now = _run(limiter, 10, latency_s=0.1)
+    _fill(limiter, 6, deadline=now + 0.6)
+    urgent = limiter.submit(LOOKUP, now + 0.3, now)
+    assert isinstance(urgent, Ticket), "goes ahead of the others"
+    refused = limiter.submit(LOOKUP, now + 0.61, now)
+    assert isinstance(refused, Refusal) and refused.kind is ErrorKind.OVERLOADED
+    assert refused.retry_after_s > 0.61
+
+
+def _drain(limiter, running, count):
+    order = []
+    for _ in range(count):
+        (running,) = limiter.finish(running, FAST, 0.0)
+        order.append(running)
+    return order
+
+
+def test_earliest_deadline_is_served_first():
+    # Guards against first-in-first-out order, which misses near deadlines.
+    limiter = ServerLimiter(1)
+    (running,) = _fill(limiter, 1)
+    rng = Random(7)
+    for _ in range(20):
+        limiter.submit(LOOKUP, 100 + rng.random(), 0.0)
+    deadlines = [ticket.deadline for ticket in _drain(limiter, running, 20)]
+    assert deadlines == sorted(deadlines)
+
+
+def test_no_class_starves_another():
+    # Guards against lookups with near deadlines that shut out uploads.
+    limiter = ServerLimiter(1)
+    (running,) = _fill(limiter, 1)
+    _fill(limiter, 30, LOOKUP, deadline=10.0)
+    _fill(limiter, 10, ONCE, deadline=20.0)
+    _fill(limiter, 10, UPLOAD, deadline=90.0)
+    order = [ticket.request_class for ticket in _drain(limiter, running, 20)]
+    assert (order.count(LOOKUP), order.count(ONCE), order.count(UPLOAD)) == (8, 8, 4)
+
+
+def test_withdrawn_requests_leave_no_slot_behind():
+    # Guards against a slot that leaks when the caller leaves.
+    limiter = ServerLimiter(1)
+    running, queued, third = _fill(limiter, 3)
+    assert limiter.withdraw(queued, 0.0) == []
+    assert limiter.withdraw(running, 0.0) == [third]
+    limiter.withdraw(third, 0.0)
+    assert (limiter.running, limiter.queued) == (0, 0)
