Add request path from caller port to backend server

Listeners, forward client, backend client with own connections over aiohttp's protocol classes, limits per server, token operations and graceful stop.

--- a/basilwick/core/limits.py
+++ b/basilwick/core/limits.py
@@ -57,7 +57,7 @@
     OVERLOADED = "overloaded"
     #: Refused as unable to serve yet.
     COLD = "cold"
-    #: Nothing, or an answer whose time depends on the caller.
+    #: Given up; only a wait that is already slow says something.
     NEUTRAL = "neutral"
 
 
@@ -296,6 +296,9 @@
     def _learn(self, result: Result, now: MonotonicSeconds) -> None:
         kind = result.kind
         if kind is ResultKind.NEUTRAL:
+            slow_s = _SLOW_FACTOR * (self.reference_s or float("inf"))
+            if result.latency_s is not None and result.latency_s > slow_s:
+                self._learn_latency(result.latency_s, now)
             return
         self._recent_refusals.append(kind is not ResultKind.SUCCESS)
         if kind is ResultKind.COLD or (
--- a/basilwick/core/retries.py
+++ b/basilwick/core/retries.py
@@ -130,17 +130,14 @@
 
 
 def is_silent(
-    sent_at: MonotonicSeconds,
+    heard_at: MonotonicSeconds,
     answered_elsewhere_at: MonotonicSeconds,
-    p99_s: float | None,
     now: MonotonicSeconds,
+    limit_s: float,
 ) -> bool:
-    """Return whether a connection without a byte since ``sent_at`` went silent.
+    """Return whether a connection without a byte since ``heard_at`` went silent.
 
     Without an answer on another connection the server itself may be slow, and closing
     the connection would only repeat the work.
     """
-    return (
-        now - sent_at >= compute_silence_limit(p99_s)
-        and answered_elsewhere_at > sent_at
-    )
+    return now - heard_at >= limit_s and answered_elsewhere_at > heard_at
--- a/basilwick/core/routing.py
+++ b/basilwick/core/routing.py
@@ -122,6 +122,9 @@
     def find_peer(self, name: InstanceName) -> Peer | None:
         """Return a live instance of any data centre."""
 
+    def find_successor(self, name: InstanceName, incarnation: str) -> Peer | None:
+        """Return the instance that a departed one announced for its ledger."""
+
     def list_peers(self, data_centre: DataCentreName) -> list[Peer]:
         """Return the live instances of a data centre, this one included."""
 
--- /dev/null
+++ b/basilwick/transport/connection.py
@@ -0,0 +1,297 @@
+"""Kept HTTP connections and their pool."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientError, EofStream
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+
+from basilwick.core.errors import ErrorKind, Outcome, refuse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import StreamReader
+    from aiohttp.http import RawResponseMessage
+
+    from basilwick.core.errors import Refusal
+    from basilwick.core.types import MonotonicSeconds
+
+__all__ = [
+    "LOST",
+    "AnswerStream",
+    "ConnectionPool",
+    "HttpConnection",
+    "PoolClosedError",
+]
+
+#: Longest time in seconds to open a connection; one takes about 1 ms.
+CONNECT_TIMEOUT_S = 0.4
+#: Idle connections are not used after this time, before common server limits of 15 s
+#: close them under a request.
+_IDLE_LIMIT_S = 12.0
+#: Errors that mean that a connection gives no answer any more.
+LOST = (OSError, ClientError, HttpProcessingError, EofStream)
+
+
+class PoolClosedError(ConnectionError):
+    """The pool was closed while a connection was wanted."""
+
+
+class HttpConnection(ResponseHandler):
+    """One HTTP/1.1 connection that carries one request at a time.
+
+    aiohttp's protocol class parses the answers. The connection is not taken from
+    `aiohttp.ClientSession`, because the session does not tell whether a byte was
+    written, when the last byte arrived, or on which connection a request runs.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Callable[[], MonotonicSeconds]
+    ):
+        super().__init__(loop)
+        self._clock = clock
+        self.received_at: MonotonicSeconds = 0.0
+        self.idle_since: MonotonicSeconds = 0.0
+        self._bodiless: bool | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Note the time of arrival and parse."""
+        self.received_at = self._clock()
+        super().data_received(data)
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request can be sent; unexpected bytes make it unusable."""
+        return not (
+            self.transport is None
+            or self.transport.is_closing()
+            or self._should_close
+            or self._buffer
+            or self._exception is not None
+        )
+
+    def write_head(self, head: bytes, bodiless: bool) -> None:
+        """Send a request head, with a small body appended to it."""
+        if bodiless is not self._bodiless:
+            self._bodiless = bodiless
+            self.set_response_params(
+                skip_payload=bodiless, read_until_eof=True, auto_decompress=False
+            )
+        self.transport.write(head)
+
+    async def write_chunk(self, chunk: bytes) -> None:
+        """Send a piece of a body and wait until the socket takes more."""
+        if self.transport is None:
+            raise ConnectionResetError("connection lost")
+        self.transport.write(chunk)
+        await self._drain_helper()
+
+    async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the answer, after any interim answers."""
+        while True:
+            message, payload = await self.read()
+            if message.code >= 200:
+                return message, payload
+
+    def fail(self, error: Exception) -> None:
+        """Make the reader of this connection fail and close it."""
+        self.set_exception(error)
+        self.abort_transport()
+
+    def abort_transport(self) -> None:
+        """Close without sending what is buffered."""
+        self._should_close = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class AnswerStream:
+    """Body of an answer that is passed on piece by piece.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Pool that gets the connection back at the end.
+    connection : HttpConnection
+        Connection that carries the body.
+    payload : aiohttp.StreamReader
+        Source; its flow control bounds the memory in use.
+    length : int or None
+        Length in bytes if the head gave it.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        connection: HttpConnection,
+        payload: StreamReader,
+        length: int | None,
+    ):
+        self.length = length
+        #: Called once when the body was read or given up.
+        self.on_end: Callable[[], None] | None = None
+        self._pool = pool
+        self._connection: HttpConnection | None = connection
+        self._payload = payload
+
+    async def read_chunk(self) -> bytes | Refusal:
+        """Return the next piece, empty at the end, or why there is none."""
+        if self._connection is None:
+            return b""
+        try:
+            chunk = await self._payload.readany()
+        except LOST as error:
+            self.close()
+            return refuse(
+                ErrorKind.CONNECTION_LOST,
+                f"the answer stopped half way: {error!r}",
+                outcome=Outcome.UNKNOWN,
+            )
+        if not chunk:
+            self._end(reusable=True)
+        return chunk
+
+    def close(self) -> None:
+        """Give up the body and close its connection."""
+        self._end(reusable=False)
+
+    def _end(self, reusable: bool) -> None:
+        if self._connection is not None:
+            connection, self._connection = self._connection, None
+            self._pool.release(connection, reusable)
+            if self.on_end is not None:
+                self.on_end()
+
+
+class ConnectionPool:
+    """Kept connections to one address.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    bound : int
+        Largest number of open connections.
+    clock : callable
+        Local monotonic clock in seconds.
+    """
+
+    def __init__(self, address: str, bound: int, clock: Callable[[], MonotonicSeconds]):
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host.strip("[]"), int(port)
+        self.bound = bound
+        self._clock = clock
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[HttpConnection] = []
+        self._open: set[HttpConnection] = set()
+        self._opening = 0
+        self._waiters: deque[asyncio.Future[None]] = deque()
+        self._closed = False
+
+    @property
+    def open(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    async def acquire(self) -> HttpConnection:
+        """Return a connection for one request.
+
+        Raises
+        ------
+        OSError
+            If no connection can be opened.
+        """
+        while True:
+            if self._closed:
+                raise PoolClosedError("the pool is closed")
+            connection = self._take_idle()
+            if connection is not None:
+                return connection
+            if len(self._open) + self._opening < self.bound:
+                return await self._connect()
+            waiter = self._loop.create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake_one()
+                raise
+
+    def release(self, connection: HttpConnection, reusable: bool) -> None:
+        """Give a connection back; one that is not reusable is closed."""
+        if reusable and connection.usable and not self._closed:
+            connection.idle_since = self._clock()
+            self._idle.append(connection)
+        else:
+            self._open.discard(connection)
+            connection.abort_transport()
+        self._wake_one()
+
+    def discard_unheard(self, since: MonotonicSeconds) -> None:
+        """Close idle connections that received nothing after a time.
+
+        Connections often go silent together, when a firewall or address translator on
+        the way loses its state.
+        """
+        kept = []
+        for connection in self._idle:
+            if connection.received_at > since:
+                kept.append(connection)
+            else:
+                self._open.discard(connection)
+                connection.abort_transport()
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._closed = True
+        for connection in self._open:
+            connection.abort_transport()
+        self._open.clear()
+        self._idle.clear()
+        while self._waiters:
+            self._wake_one()
+
+    def _take_idle(self) -> HttpConnection | None:
+        # The most recently used connection is the least likely to be closed.
+        while self._idle:
+            connection = self._idle.pop()
+            fresh = self._clock() - connection.idle_since < _IDLE_LIMIT_S
+            if fresh and connection.usable:
+                return connection
+            self._open.discard(connection)
+            connection.abort_transport()
+        return None
+
+    async def _connect(self) -> HttpConnection:
+        self._opening += 1
+        connection = None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(
+                    lambda: HttpConnection(self._loop, self._clock),
+                    self._host,
+                    self._port,
+                )
+        except TimeoutError as error:
+            raise ConnectionError("no connection within 0.4 s") from error
+        finally:
+            self._opening -= 1
+            if connection is None:
+                self._wake_one()
+        connection.received_at = self._clock()
+        self._open.add(connection)
+        return connection
+
+    def _wake_one(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
--- /dev/null
+++ b/basilwick/transport/exchange.py
@@ -0,0 +1,223 @@
+"""Requests and answers as they pass through an instance."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import define, field
+from orjson import dumps, loads
+
+from basilwick.core.errors import ErrorKind, Outcome, Refusal, refuse
+from basilwick.core.limits import RequestClass
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from basilwick.core.types import MonotonicSeconds
+
+__all__ = [
+    "Answer",
+    "ByteStream",
+    "Operation",
+    "Request",
+    "decode_refusal",
+    "encode_headers",
+    "encode_refusal",
+    "is_own_field",
+    "list_passed_fields",
+]
+
+#: Bodies up to this size are held whole: requests so that they can be sent again,
+#: answers so that a loss half way can still be reported as a refusal.
+SMALL_BODY_BYTES = 65_536
+#: Header fields that concern one connection, or that each hop writes itself.
+_OWN_FIELDS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_OWN_PREFIX = b"basilwick-"
+
+
+class Operation(StrEnum):
+    """How often an operation may run."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at-most-once"
+    UPLOAD = "upload"
+
+
+QUEUE_CLASSES = {
+    Operation.IDEMPOTENT: RequestClass.LOOKUP,
+    Operation.AT_MOST_ONCE: RequestClass.ONCE,
+    Operation.UPLOAD: RequestClass.UPLOAD,
+}
+
+
+class ByteStream(Protocol):
+    """Body that is passed on piece by piece."""
+
+    #: Length in bytes, None when only the end of the stream tells it.
+    length: int | None
+
+    async def read_chunk(self) -> bytes | Refusal:
+        """Return the next piece, empty at the end, or why there is none."""
+
+    def close(self) -> None:
+        """Stop reading; a body that is not at its end closes its connection."""
+
+
+@define(eq=False)
+class Request:
+    """A caller's request.
+
+    Attributes
+    ----------
+    method, target : str
+        Method and path with query as the caller wrote them.
+    service, key : str
+        Service and decoded key.
+    operation : Operation
+        How often it may run.
+    deadline : float
+        Local time in seconds by which the caller wants the whole answer.
+    fields : bytes
+        Encoded header fields that are passed on.
+    body : bytes or ByteStream
+        Whole body, or a stream that can be read once.
+    token : str or None
+        Token of an at-most-once operation.
+    ledger_checked : bool
+        Whether the issuer of the token has decided that the operation runs.
+    hops : int
+        Times that the request was forwarded.
+    unreachable : tuple of str
+        Instances that a previous hop could not reach.
+    unresolved : int
+        Attempts of which a byte may have reached a server and of which neither an
+        answer nor the server's "not run" has arrived.
+    body_started : bool
+        Whether a streamed body was read from, so that it cannot be sent again.
+    """
+
+    method: str
+    target: str
+    service: str
+    key: str
+    operation: Operation
+    deadline: MonotonicSeconds
+    fields: bytes = b""
+    body: bytes | ByteStream = b""
+    token: str | None = None
+    ledger_checked: bool = False
+    hops: int = 0
+    unreachable: tuple[str, ...] = ()
+    unresolved: int = 0
+    body_started: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        return self.operation is Operation.IDEMPOTENT
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the body can be sent again."""
+        return isinstance(self.body, bytes) or not self.body_started
+
+    def settle(self, refusal: Refusal) -> Refusal:
+        """Return the refusal with the outcome that all attempts together allow."""
+        if self.unresolved and refusal.outcome is Outcome.NOT_RUN:
+            return Refusal(
+                refusal.kind, Outcome.UNKNOWN, refusal.message, refusal.retry_after_s
+            )
+        return refusal
+
+
+@define(eq=False)
+class Answer:
+    """Answer of a backend server, or of an instance that forwards one.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    fields : list of pairs of bytes
+        Header fields that are passed on.
+    body : bytes or ByteStream
+        Whole body, or a stream that can be read once.
+    length : int or None
+        Length that the server stated; an answer to HEAD states one without a body.
+    """
+
+    status: int
+    fields: list[tuple[bytes, bytes]] = field(factory=list)
+    body: bytes | ByteStream = b""
+    length: int | None = None
+
+
+def is_own_field(name: bytes) -> bool:
+    """Return whether a lower-case field name concerns one connection only."""
+    return name in _OWN_FIELDS
+
+
+def list_passed_fields(
+    fields: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[bytes, bytes]]:
+    """Return the header fields that are passed on to the next hop."""
+    passed = []
+    for name, value in fields:
+        lower = name.lower()
+        if lower not in _OWN_FIELDS and not lower.startswith(_OWN_PREFIX):
+            passed.append((name, value))
+    return passed
+
+
+def encode_headers(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return header fields as lines."""
+    return b"".join([b"%b: %b\r\n" % pair for pair in fields])
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Return the JSON body of a refusal."""
+    retry_after_s = refusal.retry_after_s
+    return dumps(
+        {
+            "error": refusal.kind,
+            "outcome": refusal.outcome,
+            "message": refusal.message,
+            "remedy": refusal.remedy,
+            "retry_after_ms": None
+            if retry_after_s is None
+            else round(retry_after_s * 1000),
+        }
+    )
+
+
+def decode_refusal(body: bytes) -> Refusal:
+    """Read a refusal that another instance wrote."""
+    try:
+        data = loads(body)
+        retry_after_ms = data["retry_after_ms"]
+        return Refusal(
+            ErrorKind(data["error"]),
+            Outcome(data["outcome"]),
+            str(data["message"]),
+            None if retry_after_ms is None else retry_after_ms / 1000,
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return refuse(
+            ErrorKind.CONNECTION_LOST, f"unreadable refusal of a peer: {error!r}"
+        )
--- /dev/null
+++ b/basilwick/transport/http_server.py
@@ -0,0 +1,266 @@
+"""HTTP server of the caller and forward ports."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web import RequestHandler, Server
+
+from basilwick.core.errors import ErrorKind, Refusal, refuse
+from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from aiohttp.web import BaseRequest
+
+__all__ = ["HttpServer", "RawResponse", "answer_refusal"]
+
+_MAX_LINE_BYTES = 8190
+_MAX_FIELD_BYTES = 8190
+_MAX_FIELDS = 64
+_KEEP_ALIVE_S = 75.0
+#: Time in seconds for which the rest of a refused body is read, so that the caller
+#: gets to read the refusal before the connection closes.
+_LINGER_S = 1.0
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
+    for status in HTTPStatus
+}
+_JSON_FIELD = (b"Content-Type", b"application/json")
+
+
+def answer_refusal(refusal: Refusal) -> Answer:
+    """Return the answer that tells a caller of a refusal."""
+    fields = [
+        _JSON_FIELD,
+        (b"Basilwick-Error", refusal.kind.encode()),
+        (b"Basilwick-Outcome", refusal.outcome.encode()),
+    ]
+    if refusal.retry_after_s is not None:
+        seconds = max(1, round(refusal.retry_after_s))
+        fields.append((b"Retry-After", str(seconds).encode()))
+    return Answer(refusal.status, fields, encode_refusal(refusal))
+
+
+class RawResponse:
+    """Response that writes itself, with one write for a small answer.
+
+    `aiohttp.web` asks of a response only ``prepare``, ``write_eof`` and
+    ``keep_alive``. Its own class builds a header map and two dates per answer, which
+    costs more than the routing decision.
+
+    Parameters
+    ----------
+    request : aiohttp.web.BaseRequest
+        Request to answer.
+    keep_alive : bool, default=True
+        Whether the connection may carry another request.
+    extra : bytes, optional
+        Encoded header fields of this hop.
+    """
+
+    def __init__(
+        self, request: BaseRequest, keep_alive: bool = True, extra: bytes = b""
+    ):
+        self._request = request
+        self._extra = extra
+        self.keep_alive = keep_alive and request.keep_alive
+        self.started = False
+        self.status = 0
+        self.body_length = 0
+
+    async def prepare(self, request: BaseRequest) -> None:
+        """Do nothing; `send` has written the answer."""
+
+    async def write_eof(self) -> None:
+        """Do nothing; `send` has written the answer."""
+
+    def abort(self) -> None:
+        """Close the connection, so that the caller sees an incomplete answer."""
+        self.keep_alive = False
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def send(self, answer: Answer) -> None:
+        """Write a whole answer; waits while the caller does not read.
+
+        An answer that stops half way aborts the connection.
+        """
+        request = self._request
+        body = answer.body
+        chunked = False
+        if isinstance(body, bytes):
+            stated = answer.length if request.method == "HEAD" else len(body)
+            length = None if answer.status in (204, 304) else stated
+        else:
+            length = body.length
+            chunked = length is None and request.version >= (1, 1)
+            self.keep_alive &= chunked or length is not None
+        lines = [
+            _STATUS_LINES.get(answer.status) or b"HTTP/1.1 %d \r\n" % answer.status,
+            encode_headers(answer.fields),
+            self._extra,
+        ]
+        if length is not None:
+            lines.append(b"Content-Length: %d\r\n" % length)
+        elif chunked:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        if not self.keep_alive:
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        self.started = True
+        self.status = answer.status
+        if not isinstance(body, bytes):
+            await request.writer.write(b"".join(lines))
+            await self._send_stream(body, chunked)
+            return
+        if request.method != "HEAD":
+            lines.append(body)
+        await request.writer.write(b"".join(lines))
+        await request.writer.drain()
+
+    async def _send_stream(self, body: Any, chunked: bool) -> None:
+        writer = self._request.writer
+        ended = False
+        try:
+            while True:
+                chunk = await body.read_chunk()
+                if isinstance(chunk, Refusal):
+                    break
+                if not chunk:
+                    ended = True
+                    break
+                if chunked:
+                    await writer.write(b"%x\r\n" % len(chunk))
+                await writer.write(chunk)
+                if chunked:
+                    await writer.write(b"\r\n")
+                await writer.drain()
+            if ended and chunked:
+                await writer.write(b"0\r\n\r\n")
+        finally:
+            body.close()
+            if not ended:
+                self.abort()
+
+
+class _Protocol(RequestHandler):
+    """Answers unreadable requests with the JSON refusals of the interface."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> Any:
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        kind = ErrorKind.BAD_REQUEST
+        text = "the request cannot be read"
+        if isinstance(exc, LineTooLong) or "too many headers" in str(exc).lower():
+            kind, text = ErrorKind.TOO_LARGE, "a header or the path is too long"
+        return _ErrorResponse(request, refuse(kind, text))
+
+
+class _ErrorResponse(RawResponse):
+    """Refusal that is written when the protocol asks for it."""
+
+    def __init__(self, request: BaseRequest, refusal: Refusal):
+        super().__init__(request, keep_alive=False)
+        self._refusal = refusal
+
+    async def prepare(self, request: BaseRequest) -> None:
+        self._request = request
+        await self.send(answer_refusal(self._refusal))
+
+
+class _Protocols(Server):
+    def __call__(self) -> RequestHandler:
+        return _Protocol(self, loop=self._loop, **self._kwargs)
+
+
+class HttpServer:
+    """Listens on one address and counts the requests that run.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port; port 0 takes a free one.
+    handler : callable
+        Answers a request.
+    """
+
+    def __init__(
+        self, address: str, handler: Callable[[BaseRequest], Awaitable[RawResponse]]
+    ):
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host.strip("[]"), int(port)
+        self._handler = handler
+        self._protocols: _Protocols | None = None
+        self._server: asyncio.Server | None = None
+        self.running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def address(self) -> str:
+        """IP number and port that the server listens on."""
+        return f"{self._host}:{self._port}"
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        # The handler is cancelled when the caller leaves, which passes the
+        # cancellation on to the backend server.
+        self._protocols = _Protocols(
+            self._count,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=_KEEP_ALIVE_S,
+            lingering_time=_LINGER_S,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_FIELD_BYTES,
+            max_headers=_MAX_FIELDS,
+        )
+        self._server = await loop.create_server(
+            self._protocols, self._host, self._port, backlog=1024
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    def stop_accepting(self) -> None:
+        """Refuse new connections; open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request runs; returns whether that came about in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self.stop_accepting()
+        if self._protocols is not None:
+            await self._protocols.shutdown(0.1)
+
+    async def _count(self, request: BaseRequest) -> RawResponse:
+        self.running += 1
+        self._idle.clear()
+        try:
+            return await self._handler(request)
+        finally:
+            self.running -= 1
+            if not self.running:
+                self._idle.set()
