Decide placement, moves and homes of blocks

The assigner places shards by rendezvous hashing with bounded loads, moves them off lost and draining servers, settles moves, evens out measured load and hands blocks between data centres.

--- a/basilwick/core/assigner.py
+++ b/basilwick/core/assigner.py
@@ -1,107 +1,358 @@
-"""What the assigner of a service in a data centre sees and does."""
+"""Decisions of the assigner of a service in a data centre."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeAlias
+from math import inf
+from typing import TYPE_CHECKING
 
-from attrs import field, frozen
+from attrs import define, field, frozen
+
+from basilwick.core.assigner_view import (
+    AssignerAction,
+    AssignerView,
+    StoredBlock,
+    WriteBlock,
+)
+from basilwick.core.assignment import BlockDocument, BlockState, Ownership
+from basilwick.core.homes import HomeChooser, may_take
+from basilwick.core.moves import (
+    MAX_MOVES_IN_FLIGHT,
+    MovePlanner,
+    list_receivers,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from random import Random
 
-    from basilwick.core.assignment import BlockDocument
-    from basilwick.core.records import DataCentreRecord, ServerRecord, ServiceRecord
+    from basilwick.core.placement import Unit
     from basilwick.core.types import (
         BlockId,
         DataCentreName,
         Generation,
         KeyHash,
         MonotonicSeconds,
-        Revision,
         ServerName,
         ShardIndex,
     )
 
-__all__ = ["AssignerAction", "AssignerView", "StoredBlock", "WriteBlock"]
+__all__ = ["Assigner", "AssignerAction", "AssignerView", "StoredBlock", "WriteBlock"]
+
+#: Shortest time between two moves of a shard for better balance.
+SETTLED_AFTER_S = 30.0
+_REBALANCE_INTERVAL_S = 5.0
+# A data centre that returned has cold servers, so it gets its blocks back slowly.
+_HAND_BACK_INTERVAL_S = 2.0
+# Moves that ended stay in the document this long if others are pending, so that one
+# write settles them together. Nothing waits for that write: every instance uses the new
+# owner as soon as the wait is over.
+_SETTLE_DELAY_S = 1.0
 
 
 @frozen
-class StoredBlock:
-    """A block document with the platform revision that a write must expect."""
+class _Facts:
+    """What each decision needs to know of a document, computed once."""
 
-    document: BlockDocument
-    revision: Revision
+    version: tuple[Generation, str]
+    owners: frozenset[ServerName]
+    pending: tuple[Ownership, ...]
 
 
-@frozen
-class AssignerView:
-    """Facts that the assigner decides on; collected afresh for each decision.
-
-    Attributes
-    ----------
-    service : ServiceRecord
-        Service whose blocks are assigned.
-    data_centre : str
-        Data centre of this instance.
-    data_centres : mapping of str to DataCentreRecord
-        All data centres.
-    out_seen_at : mapping of str to float
-        Local time at which each record that now says out was first seen.
-    autonomy_s : mapping of str to float
-        Larger autonomy term of the present record of a data centre and the one that it
-        replaced, in seconds.
-    servers : mapping of str to ServerRecord
-        Servers of the service in all data centres.
-    blocks : mapping of (str, int) to StoredBlock
-        Known block documents of the service.
-    lost : mapping of str to float
-        Servers declared lost and the local time of the declaration.
-    shard_loads : mapping of int to float
-        Requests a second by shard.
-    hot_keys : mapping of int to (int, float)
-        Shard and requests a second by key hash.
-    revoked : mapping of ((str, int), str) to int
-        Highest generation of a block up to which a checking server acknowledged that it
-        gave up the shards moved away from it.
-    active_at : callable
-        Gives the local time from which a generation of a block may be used, infinite
-        while a majority of witnesses does not know it.
-    platform_reachable : bool
-        Whether the latest call to the platform succeeded.
+@define
+class Assigner:
+    """Decides who owns what for one service in one data centre.
+
+    Two assigners may act at once, for example after a change of duty. Their writes then
+    conflict, and the loser plans again from its next view. What an assigner remembers
+    only slows it down and is not needed for safety.
     """
 
-    service: ServiceRecord
-    data_centre: DataCentreName
-    data_centres: Mapping[DataCentreName, DataCentreRecord]
-    servers: Mapping[ServerName, ServerRecord]
-    blocks: Mapping[BlockId, StoredBlock]
-    active_at: Callable[[BlockId, Generation], MonotonicSeconds]
-    out_seen_at: Mapping[DataCentreName, MonotonicSeconds] = field(factory=dict)
-    autonomy_s: Mapping[DataCentreName, float] = field(factory=dict)
-    lost: Mapping[ServerName, MonotonicSeconds] = field(factory=dict)
-    shard_loads: Mapping[ShardIndex, float] = field(factory=dict)
-    hot_keys: Mapping[KeyHash, tuple[ShardIndex, float]] = field(factory=dict)
-    revoked: Mapping[tuple[BlockId, ServerName], Generation] = field(factory=dict)
-    platform_reachable: bool = True
+    _homes: HomeChooser = field(factory=HomeChooser)
+    _facts: dict[BlockId, _Facts] = field(factory=dict)
+    _unmoved_since: dict[tuple[ShardIndex, KeyHash | None], tuple[int, float]] = field(
+        factory=dict
+    )
+    _rebalance_at: MonotonicSeconds = -inf
+    _hand_back_at: MonotonicSeconds = -inf
 
+    def handle(
+        self, event: AssignerView, now: MonotonicSeconds, rng: Random
+    ) -> list[WriteBlock]:
+        """Return the writes for a view; the form that traces replay."""
+        return self.decide(event, now, rng)
 
-@frozen
-class WriteBlock:
-    """Write a block document by compare-and-swap, then announce it.
-
-    Attributes
-    ----------
-    document : BlockDocument
-        New document; its write_id is set.
-    expected : int
-        Platform revision that the write expects, 0 for a new document.
-    reason : str
-        Why, for the log.
-    """
+    def decide(
+        self, view: AssignerView, now: MonotonicSeconds, rng: Random
+    ) -> list[WriteBlock]:
+        """Return the writes that a view calls for, at most one for each block.
+
+        Parameters
+        ----------
+        view : AssignerView
+            Facts.
+        now : float
+            Local time in seconds.
+        rng : Random
+            Source of write identities and of jitter.
+        """
+        if not view.platform_reachable:
+            return []
+        self._homes.update(view)
+        return _Decision(self, view, now, rng).run()
+
+
+class _Decision:
+    """One decision; builds the plan of moves only when it is needed."""
+
+    def __init__(
+        self,
+        assigner: Assigner,
+        view: AssignerView,
+        now: MonotonicSeconds,
+        rng: Random,
+    ):
+        self._assigner = assigner
+        self._homes = assigner._homes
+        self._view = view
+        self._now = now
+        self._rng = rng
+        self._planner: MovePlanner | None = None
+        self._documents = {
+            **{id_: stored.document for id_, stored in view.blocks.items()},
+            **view.writing,
+        }
+        self._active = {
+            id_: document
+            for id_, document in self._documents.items()
+            if document.home == view.data_centre and document.state is BlockState.ACTIVE
+        }
+        self._handing_over: dict[DataCentreName, int] = {}
+        for document in self._documents.values():
+            if document.state is not BlockState.ACTIVE:
+                self._count_handover(document.home)
+        self._actions: dict[BlockId, WriteBlock] = {}
+
+    def run(self) -> list[WriteBlock]:
+        for index in range(self._view.service.blocks):
+            id_ = (self._view.service.name, index)
+            if id_ not in self._view.writing:
+                self._change_home(id_)
+        self._hand_over()
+        self._plan_moves()
+        for id_ in self._active:
+            if not self._is_locked(id_):
+                self._settle(id_, self._active[id_])
+        return list(self._actions.values())
+
+    def _is_locked(self, id_: BlockId) -> bool:
+        return id_ in self._view.writing or id_ in self._actions
+
+    def _count_handover(self, target: DataCentreName) -> None:
+        self._handing_over[target] = self._handing_over.get(target, 0) + 1
+
+    def _get_planner(self) -> MovePlanner:
+        if self._planner is None:
+            self._planner = MovePlanner(
+                self._view, self._active, self._is_locked, self._now
+            )
+        return self._planner
+
+    def _write(self, id_: BlockId, document: BlockDocument, reason: str) -> None:
+        stored = self._view.blocks.get(id_)
+        expected = stored.revision if stored else 0
+        self._actions[id_] = WriteBlock(document, expected, reason)
+
+    def _draw_write_id(self) -> str:
+        return f"{self._rng.getrandbits(128):032x}"
+
+    def _change_home(self, id_: BlockId) -> None:
+        view, here = self._view, self._view.data_centre
+        document = self._documents.get(id_)
+        preferred = self._homes.choose(*id_)
+        if document is None:
+            if preferred == here:
+                self._create(id_)
+        elif document.state is BlockState.RELEASING and document.released_from == here:
+            self._settle(id_, document)
+        else:
+            handed_over = document.state is not BlockState.ACTIVE
+            kept = handed_over and self._homes.is_usable(document.home)
+            taker = document.home if kept else preferred
+            if taker == here and may_take(document, view, self._now):
+                self._activate(id_, document)
+
+    def _create(self, id_: BlockId) -> None:
+        service = self._view.service
+        first = id_[1] * service.shards_per_block
+        shards = range(first, first + service.shards_per_block)
+        owners = self._get_planner().place_block(shards)
+        document = BlockDocument(
+            service=service.name,
+            block=id_[1],
+            generation=1,
+            home=self._view.data_centre,
+            shards={shard: Ownership(owners.get(shard, ""), 1) for shard in shards},
+            write_id=self._draw_write_id(),
+            shard_count=service.shard_count,
+        )
+        self._write(id_, document, "created")
+
+    def _activate(self, id_: BlockId, document: BlockDocument) -> None:
+        owners = self._get_planner().place_block(document.shards)
+        home = self._view.data_centre
+        reason = f"activated; was {document.state} at {document.home}"
+        self._write(id_, document.activate(home, owners, self._draw_write_id()), reason)
+
+    def _hand_over(self) -> None:
+        """Give blocks to their preferred homes, hottest first and paced."""
+        here = self._view.data_centre
+        leaving = not self._homes.is_usable(here)
+        for id_ in sorted(self._active, key=self._get_heat, reverse=True):
+            target = self._homes.choose(*id_)
+            if target in (None, here) or id_ in self._view.writing:
+                continue
+            if leaving:
+                allowed = self._handing_over.get(target, 0) < self._limit_blocks(target)
+            else:
+                allowed = self._may_hand_back(id_)
+            if allowed:
+                released = self._active[id_].release(target, self._draw_write_id())
+                self._write(id_, released, f"released to {target}")
+                self._count_handover(target)
+
+    def _get_heat(self, id_: BlockId) -> float:
+        loads = self._view.shard_loads
+        return sum(loads.get(shard, 0.0) for shard in self._active[id_].shards)
+
+    def _limit_blocks(self, target: DataCentreName) -> int:
+        """Return how many blocks may be on their way to a data centre at once."""
+        view = self._view
+        receivers = sum(
+            server.data_centre == target and server.state == "active"
+            for server in view.servers.values()
+        )
+        shards = MAX_MOVES_IN_FLIGHT * receivers
+        return max(1, shards // view.service.shards_per_block)
+
+    def _may_hand_back(self, id_: BlockId) -> bool:
+        if self._handing_over or self._now < self._assigner._hand_back_at:
+            return False
+        if self._get_facts(id_, self._active[id_]).pending:
+            return False
+        self._assigner._hand_back_at = self._now + _HAND_BACK_INTERVAL_S
+        return True
+
+    def _get_facts(self, id_: BlockId, document: BlockDocument) -> _Facts:
+        facts = self._assigner._facts.get(id_)
+        # A write in progress can lose to another one of the same generation.
+        version = (document.generation, document.write_id)
+        if facts is None or facts.version != version:
+            facts = _Facts(
+                version,
+                frozenset(o.owner for o in document.iter_ownerships()),
+                tuple(document.list_pending()),
+            )
+            self._assigner._facts[id_] = facts
+        return facts
+
+    def _plan_moves(self) -> None:
+        open_blocks = [id_ for id_ in self._active if not self._is_locked(id_)]
+        receivers = list_receivers(self._view)
+        if not receivers:
+            return
+        usable = receivers.keys()
+        departing = any(
+            not self._get_facts(id_, self._active[id_]).owners <= usable
+            for id_ in open_blocks
+        )
+        rebalancing = self._now >= self._assigner._rebalance_at
+        if not open_blocks or not (departing or rebalancing):
+            return
+        planner = self._get_planner()
+        if departing:
+            planner.plan_departures()
+        if rebalancing:
+            self._note_moves()
+            delay = _REBALANCE_INTERVAL_S * self._rng.uniform(0.9, 1.1)
+            self._assigner._rebalance_at = self._now + delay
+            if not planner.moves:
+                planner.plan_rebalance(self._is_settled)
+        self._write_moves(planner)
+
+    def _write_moves(self, planner: MovePlanner) -> None:
+        for id_, moves in planner.moves.items():
+            document = self._active[id_]
+            ended, acknowledged = self._find_ended(id_, document)
+            moved = document.move_shards(
+                moves.owners,
+                moves.hot,
+                self._draw_write_id(),
+                settled=ended,
+                acknowledged=acknowledged,
+            )
+            reasons = ", ".join(f"{n} {reason}" for reason, n in moves.reasons.items())
+            self._write(id_, moved, f"moved: {reasons}")
+
+    def _note_moves(self) -> None:
+        """Remember since when each shard and hot key has its present fence."""
+        known = self._assigner._unmoved_since
+        noted = {}
+        for document in self._active.values():
+            for shard, ownership in document.shards.items():
+                noted[shard, None] = ownership.fence
+            for key_hash, ownership in document.hot.items():
+                noted[document.get_shard(key_hash), key_hash] = ownership.fence
+        self._assigner._unmoved_since = {
+            unit: known[unit]
+            if unit in known and known[unit][0] == fence
+            else (fence, self._now)
+            for unit, fence in noted.items()
+        }
+
+    def _is_settled(self, unit: Unit) -> bool:
+        since = self._assigner._unmoved_since.get((unit.shard, unit.key_hash))
+        return since is not None and self._now >= since[1] + SETTLED_AFTER_S
 
-    document: BlockDocument
-    expected: Revision
-    reason: str
+    def _find_ended(
+        self, id_: BlockId, document: BlockDocument
+    ) -> tuple[Generation, dict[ServerName, Generation]]:
+        """Return which moves have ended: up to a generation, and by acknowledgement."""
+        pending = self._get_facts(id_, document).pending
+        fences = {ownership.fence for ownership in pending}
+        ended = max(
+            (f for f in fences if self._view.active_at(id_, f) <= self._now), default=0
+        )
+        acknowledged = {
+            name: self._view.revoked[id_, name]
+            for name in {ownership.moved_from for ownership in pending}
+            if self._checks_grants(name) and (id_, name) in self._view.revoked
+        }
+        return ended, acknowledged
 
+    def _checks_grants(self, name: ServerName | None) -> bool:
+        server = self._view.servers.get(name or "")
+        return server is not None and server.checks_grants
 
-AssignerAction: TypeAlias = WriteBlock
+    def _settle(self, id_: BlockId, document: BlockDocument) -> None:
+        """Write that moves have ended, if that is of use now."""
+        pending = self._get_facts(id_, document).pending
+        releasing = document.state is BlockState.RELEASING
+        if not pending and not releasing:
+            return
+        ended, acknowledged = self._find_ended(id_, document)
+        waiting = [ownership for ownership in pending if ownership.fence > ended]
+        early = [
+            ownership
+            for ownership in waiting
+            if self._checks_grants(ownership.moved_from)
+            and ownership.moved_from not in self._view.lost
+        ]
+        all_early = early and all(
+            acknowledged.get(ownership.moved_from, 0) >= ownership.fence
+            for ownership in early
+        )
+        overdue = ended and (
+            self._view.active_at(id_, ended) <= self._now - _SETTLE_DELAY_S
+        )
+        if not waiting or all_early or overdue:
+            settled = document.settle_moves(ended, self._draw_write_id(), acknowledged)
+            self._write(id_, settled, "settled")
