Lengthen the platform client's timeouts while the platform is slow

With a fixed timeout of 1 s a platform that answered after 2.5 s never answered in time. Timeouts now double after each one, to at most 8 s, separately for reads and writes, and shrink to twice the time of the last answer. A compare-and-swap and a list at a delay of 2.5 s succeed with one write in effect.

--- a/basilwick/core/configuration.py
+++ b/basilwick/core/configuration.py
@@ -236,6 +236,13 @@
 
     def _apply_block(self, entry: Entry) -> bool:
         known = self._entries.get(entry.key)
+        if (
+            known is not None
+            and known.revision >= entry.revision
+            and known.value == entry.value
+        ):
+            # Saves decoding when a peer sends a whole snapshot.
+            return False
         try:
             document = BlockDocument.decode(entry.value)
             if document.id != parse_block_key(entry.key):
--- a/basilwick/platform/budget.py
+++ b/basilwick/platform/budget.py
@@ -12,7 +12,9 @@
 
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["Backoff", "CallBudget", "CallKind", "TokenBucket"]
+__all__ = ["Backoff", "CallBudget", "CallKind", "Patience", "TokenBucket"]
+
+_PATIENCE_MAX = 8.0
 
 
 class CallKind(StrEnum):
@@ -132,3 +134,27 @@
         """End the delays."""
         self.failures = 0
         self._not_before = 0.0
+
+
+@define
+class Patience:
+    """Lengthens timeouts while the platform is slow.
+
+    With a fixed timeout, a platform that takes longer would never answer in time: every
+    write would end without a known outcome although it takes effect.
+
+    Attributes
+    ----------
+    factor : float
+        Factor by which the usual timeouts are multiplied, 1 to 8.
+    """
+
+    factor: float = 1.0
+
+    def record_timeout(self) -> None:
+        """Double the timeouts after a call that got no answer in time."""
+        self.factor = min(_PATIENCE_MAX, 2 * self.factor)
+
+    def record_answer(self, elapsed_s: float, timeout_s: float) -> None:
+        """Shorten the timeouts to twice what an answer took."""
+        self.factor = max(1.0, min(self.factor, 2 * elapsed_s / timeout_s))
--- a/basilwick/platform/http.py
+++ b/basilwick/platform/http.py
@@ -13,7 +13,7 @@
 from prometheus_client import Counter
 
 from basilwick.core.errors import PlatformUnavailableError, TooLargeError
-from basilwick.platform.budget import Backoff, CallBudget, CallKind
+from basilwick.platform.budget import Backoff, CallBudget, CallKind, Patience
 from basilwick.platform.service import (
     Changes,
     Committed,
@@ -52,6 +52,8 @@
     params: Sequence[tuple[str, str]] = ()
     data: bytes | None = None
     timeout_s: float = _CALL_TIMEOUT_S
+    # Time for which the platform may hold the call, besides that for the answer.
+    wait_s: float = 0.0
 
 
 class HttpPlatform:
@@ -76,6 +78,8 @@
         self._base = f"http://{address}"
         self._budget = budget or CallBudget()
         self._backoff = Backoff(rng or Random())
+        # Writes can be slow while reads are fast.
+        self._patience = {kind: Patience() for kind in CallKind}
         self._session: ClientSession | None = None
 
     async def start(self) -> None:
@@ -156,7 +160,7 @@
                 ("since", str(since)),
                 ("timeout_s", str(timeout_s)),
             ],
-            timeout_s=timeout_s + _CALL_TIMEOUT_S,
+            wait_s=timeout_s,
         )
         _, data = await self._send(request)
         return _read_changes(data, since)
@@ -227,6 +231,8 @@
         try:
             status, body = await self._exchange(request)
         except (ClientError, TimeoutError, ValueError) as error:
+            if isinstance(error, TimeoutError):
+                self._patience[request.kind].record_timeout()
             self._backoff.record_failure(loop.time())
             _CALLS.labels(request.kind, request.cause, "no answer").inc()
             raise PlatformUnavailableError(
@@ -259,14 +265,21 @@
 
     async def _exchange(self, request: _Request) -> tuple[int, Any]:
         assert self._session is not None, "call start first"
+        patience = self._patience[request.kind]
+        started = asyncio.get_running_loop().time()
         async with self._session.request(
             request.method,
             self._base + request.path,
             params=list(request.params),
             data=request.data,
-            timeout=ClientTimeout(total=request.timeout_s),
+            timeout=ClientTimeout(
+                total=request.wait_s + request.timeout_s * patience.factor
+            ),
         ) as response:
             body = await response.read()
+            if not request.wait_s:
+                elapsed = asyncio.get_running_loop().time() - started
+                patience.record_answer(elapsed, request.timeout_s)
             # Bodies of failures are not of this service's format.
             return response.status, loads(body) if response.status < 410 else None
 
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -68,6 +68,16 @@
         assert fake.store.read(KEY).revision == 1
 
 
+async def test_slow_platform_still_commits_and_lists():
+    # Guards against a platform that answers later than the timeout, so that no write
+    # ever has a known outcome.
+    async with _connect() as (fake, platform):
+        fake.faults.delay_s = 2.5
+        assert await platform.compare_and_swap(KEY, b"1", 0, "w1") == Committed(1)
+        assert (await platform.list_entries("blocks/")).entries[0].value == b"1"
+        assert fake.store.read(KEY).revision == 1
+
+
 async def test_write_without_known_outcome_is_reported_as_such():
     # Guards against an outage that looks like a refused write.
     async with _connect() as (fake, platform):
