--- a/basilwick/settings.py
+++ b/basilwick/settings.py
@@ -107,9 +107,16 @@
 
 @frozen
 class PeersSettings:
-    """Peer listeners of other instances, used to find them at start."""
+    """Instances to contact before any other is known.
 
-    addresses: tuple[Address, ...] = ()
+    Attributes
+    ----------
+    seeds : tuple of str
+        Addresses of peer listeners. Every instance can have the same list, its own
+        address included.
+    """
+
+    seeds: tuple[Address, ...] = ()
 
 
 @frozen
@@ -225,12 +232,12 @@
 
 def _find_duplicate_peers(data: dict[str, Any]) -> list[str]:
     peers = data.get("peers")
-    addresses = peers.get("addresses") if isinstance(peers, dict) else None
-    if not isinstance(addresses, list):
+    seeds = peers.get("seeds") if isinstance(peers, dict) else None
+    if not isinstance(seeds, list):
         return []
     return [
-        f"peers.addresses: got {address!r} more than once; allowed: once"
-        for address in find_duplicates(a for a in addresses if isinstance(a, str))
+        f"peers.seeds: got {address!r} more than once; allowed: once"
+        for address in find_duplicates(seed for seed in seeds if isinstance(seed, str))
     ]
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -34,7 +34,7 @@
 
 def test_defaults_fill_the_sections_left_out(tmp_path):
     settings = _load(tmp_path, VALID)
-    assert settings.peers.addresses == ()
+    assert settings.peers.seeds == ()
     assert settings.limits.max_key_bytes == 512
 
 
@@ -44,7 +44,7 @@
     text = VALID.replace("127.0.0.1:8002", "localhost:8002") + (
         '[limits]\nmax_body_byte = 5\nqueue_length = -1\nshutdown_s = "5"\n'
         '[logs]\njson = "false"\nlevel = "loud"\n'
-        '[peers]\naddresses = ["127.0.0.1:1", "127.0.0.1:1", "h:2"]\n'
+        '[peers]\nseeds = ["127.0.0.1:1", "127.0.0.1:1", "h:2"]\n'
         "[extra]\n"
     )
     faults = _find_faults(tmp_path, text)
@@ -55,8 +55,8 @@
         "limits: unknown name 'max_body_byte'; allowed: max_body_bytes",
         "logs.json: got 'false'; allowed: true or false",
         "logs.level: got 'loud'; allowed: trace",
-        "peers.addresses[2]: got 'h:2'",
-        "peers.addresses: got '127.0.0.1:1' more than once",
+        "peers.seeds[2]: got 'h:2'",
+        "peers.seeds: got '127.0.0.1:1' more than once",
         "unknown name 'extra'; allowed: instance",
     ]
     for start in expected:
