--- a/basilwick/core/preview.py
+++ b/basilwick/core/preview.py
@@ -121,8 +121,6 @@
     warnings = []
     if not new.witnesses:
         warnings.append("no witness is listed; nothing will be served there")
-    if new.confirmed_stopped and new.status == DataCentreStatus.IN:
-        warnings.append("confirmed_stopped has no effect while the status is 'in'")
     if new.status == DataCentreStatus.IN:
         return Preview((), tuple(warnings))
     if new.confirmed_stopped:
--- a/basilwick/core/record_changes.py
+++ b/basilwick/core/record_changes.py
@@ -9,6 +9,7 @@
 from basilwick.core.errors import InvalidRecordError
 from basilwick.core.records import (
     DataCentreRecord,
+    DataCentreStatus,
     ServerRecord,
     ServerState,
     ServiceRecord,
@@ -111,26 +112,45 @@
     InvalidRecordError
         With all faults of the change.
     """
-    if old is None:
-        return
-    faults = []
-    if schema < old_schema:
-        try:
-            describe_record(old, schema)
-        except InvalidRecordError as error:
-            faults += error.faults
-    if isinstance(old, ServiceRecord) and isinstance(new, ServiceRecord):
-        faults += _check_service(old, new)
-    elif isinstance(old, ServerRecord) and isinstance(new, ServerRecord):
-        faults += _check_server(old, new, owners)
-    elif isinstance(old, DataCentreRecord) and isinstance(new, DataCentreRecord):
-        faults += _check_witnesses(old, new)
-    else:
-        faults.append("kind: a record can't change its kind; use another name")
+    faults = _check_confirmed_stopped(new)
+    if old is not None:
+        if schema < old_schema:
+            faults += _find_lost_values(old, schema)
+        faults += _check_fields(old, new, owners)
     if faults:
         raise InvalidRecordError(f"change refused: {'; '.join(faults)}", faults)
 
 
+def _check_fields(old: Record, new: Record, owners: Iterable[str]) -> list[str]:
+    if isinstance(old, ServiceRecord) and isinstance(new, ServiceRecord):
+        return _check_service(old, new)
+    if isinstance(old, ServerRecord) and isinstance(new, ServerRecord):
+        return _check_server(old, new, owners)
+    if isinstance(old, DataCentreRecord) and isinstance(new, DataCentreRecord):
+        return _check_witnesses(old, new)
+    return ["kind: a record can't change its kind; use another name"]
+
+
+def _find_lost_values(old: Record, schema: int) -> list[str]:
+    try:
+        describe_record(old, schema)
+    except InvalidRecordError as error:
+        return error.faults
+    return []
+
+
+def _check_confirmed_stopped(new: Record) -> list[str]:
+    # Left over from an earlier outage, it would let others take the blocks at once when
+    # the data centre is next taken out, while its instances still run.
+    if (
+        isinstance(new, DataCentreRecord)
+        and new.confirmed_stopped
+        and new.status == DataCentreStatus.IN
+    ):
+        return ["confirmed_stopped: got True; allowed: False while the status is 'in'"]
+    return []
+
+
 def _check_service(old: ServiceRecord, new: ServiceRecord) -> list[str]:
     # Another number of shards maps keys to other owners while instances that still hold
     # the old record send them to the present ones.
--- a/basilwick/platform/records.py
+++ b/basilwick/platform/records.py
@@ -113,14 +113,14 @@
         check_schema(schema, schema_max)
         current = await self.get(kind, name)
         old = _decode_stored(current)
+        owners: list[str] = []
+        old_schema = schema
         if current is not None and old is not None:
             owners = await self._list_owners(old, record)
             old_schema = read_schema(current.value)
-            check_change(
-                old, record, schema=schema, old_schema=old_schema, owners=owners
-            )
         elif current is not None:
             _check_overwrite(current)
+        check_change(old, record, schema=schema, old_schema=old_schema, owners=owners)
         record = _keep_replaced_autonomy(old, record)
         value = dumps(describe_record(record, schema))
         return PreparedPut(record_key(kind, name), record, value, current, old)
--- a/tests/core/test_records.py
+++ b/tests/core/test_records.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from attrs import evolve
 from orjson import dumps, loads
 
 from basilwick.core.errors import InvalidRecordError
@@ -52,7 +53,7 @@
     [
         ServerRecord("s", "clue", "dc-a", "127.0.0.1:1", checks_grants=True),
         DataCentreRecord("d", autonomy_s=60.0),
-        DataCentreRecord("d", confirmed_stopped=True),
+        evolve(RETIRED, confirmed_stopped=True),
     ],
 )
 def test_schema_1_never_drops_a_value_silently(record):
@@ -134,6 +135,15 @@
         check_change(out, moved, schema=2, owners=["s"])
 
 
+@pytest.mark.parametrize("old", [None, RETIRED])
+def test_vouching_for_stopped_instances_ends_with_the_outage(old):
+    # Guards against a value left over from one outage that gives the blocks away at
+    # once when the data centre is next taken out with its instances running.
+    check_change(old, evolve(RETIRED, confirmed_stopped=True), schema=2)
+    with pytest.raises(InvalidRecordError, match="confirmed_stopped"):
+        check_change(old, DataCentreRecord("d", confirmed_stopped=True), schema=2)
+
+
 def test_difference_names_fields_and_seats():
     old = DataCentreRecord("d", witnesses=tuple(SEATS[:1]))
     new = DataCentreRecord("d", DataCentreStatus.OUT, tuple(SEATS[:2]))
