Answer requests that fit no route in the admin port's error form

An oversized record got a text page, which the commands reported as an outage. Replicas of the configuration are tested to converge for 20 seeded orders of delivery.

--- a/basilwick/cli/record.py
+++ b/basilwick/cli/record.py
@@ -4,8 +4,19 @@
 
 from getpass import getuser
 from typing import TYPE_CHECKING, Any, BinaryIO
-
-from click import Abort, File, UsageError, argument, confirm, echo, group, option
+from urllib.parse import quote
+
+from click import (
+    Abort,
+    Choice,
+    File,
+    UsageError,
+    argument,
+    confirm,
+    echo,
+    group,
+    option,
+)
 from orjson import OPT_INDENT_2, dumps
 
 from basilwick.cli.client import admin_options
@@ -18,6 +29,7 @@
 __all__ = ["record"]
 
 _BLOCKS_SHOWN = 10
+_KIND = Choice(["service", "server", "data_centre"])
 
 
 @group()
@@ -36,7 +48,7 @@
 
 
 @record.command("list")
-@argument("kind", required=False)
+@argument("kind", type=_KIND, required=False)
 @admin_options
 @json_option
 def list_records(kind: str | None, admin: AdminClient, as_json: bool) -> None:
@@ -50,13 +62,13 @@
 
 
 @record.command()
-@argument("kind")
+@argument("kind", type=_KIND)
 @argument("name")
 @admin_options
 @json_option
 def get(kind: str, name: str, admin: AdminClient, as_json: bool) -> None:
     """Print a record; its revision goes to standard error."""
-    answer = admin.call("GET", f"/records/{kind}/{name}")
+    answer = admin.call("GET", f"/records/{kind}/{quote(name, safe='')}")
     if as_json:
         echo(dumps(answer))
         return
@@ -66,13 +78,13 @@
 
 
 @record.command()
-@argument("kind")
+@argument("kind", type=_KIND)
 @argument("name")
 @admin_options
 @json_option
 def history(kind: str, name: str, admin: AdminClient, as_json: bool) -> None:
     """Show the past puts of a record, newest first."""
-    answer = admin.call("GET", f"/records/{kind}/{name}/history")
+    answer = admin.call("GET", f"/records/{kind}/{quote(name, safe='')}/history")
     if as_json:
         echo(dumps(answer))
         return
--- a/basilwick/transport/admin.py
+++ b/basilwick/transport/admin.py
@@ -144,6 +144,14 @@
     async def _report_errors(self, request: web.Request, handler: Any) -> Any:
         try:
             return await handler(request)
+        except web.HTTPException as error:
+            # Unknown paths, methods and bodies that are too large.
+            return _respond_error(
+                error.status,
+                "bad_request",
+                f"{request.method} {request.path}: {error.reason}",
+                "see the operators' page for paths and limits",
+            )
         except InvalidRecordError as error:
             return _respond_error(
                 400,
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from basilwick.core.assignment import BlockDocument, Ownership, block_key
@@ -64,6 +66,35 @@
     assert configuration.blocks[("clue", 0)].revision == max(revision, 10)
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_replicas_converge_whatever_the_order_of_delivery(seed):
+    # Guards against instances that stay different because news came late, twice or in
+    # another order, and against a key that goes back on the way.
+    rng = Random(seed)
+    history = []
+    for revision in range(1, 120):
+        if rng.random() < 0.3:
+            history.append(_block(revision, revision, f"s{revision}"))
+        else:
+            name = f"s{rng.randrange(8)}"
+            record = ServiceRecord(name, default_deadline_ms=revision)
+            history.append(_entry(record, revision))
+    source = Configuration()
+    source.apply(Changes(len(history), history, snapshot=True))
+    replica = Configuration()
+    for _ in range(60):
+        before = {entry.key: entry.revision for entry in replica.list_entries()}
+        replica.apply_entries(rng.choices(history, k=rng.randrange(6)))
+        after = {entry.key: entry.revision for entry in replica.list_entries()}
+        assert all(after[key] >= revision for key, revision in before.items())
+        assert replica.revision == 0
+    replica.apply(source.changes_since(replica.revision))
+    assert replica.list_entries() == source.list_entries()
+    assert replica.services == source.services
+    assert replica.blocks == source.blocks
+    assert replica.revision == source.revision
+
+
 def test_unreadable_value_leaves_the_last_readable_one_in_force():
     # Guards against a record of a later schema that stops an older instance.
     configuration = Configuration()
--- a/tests/transport/test_admin.py
+++ b/tests/transport/test_admin.py
@@ -259,6 +259,16 @@
         assert result.exit_code == 5
 
 
+async def test_requests_that_fit_no_route_get_an_error_in_the_usual_form():
+    # Guards against a command that takes an oversized record for an outage.
+    async with _run() as (_, _, _, session):
+        async with session.put(
+            PATH, params={"expected": "2"}, data=b" " * 70_000
+        ) as answer:
+            assert (answer.status, "remedy" in await answer.json()) == (413, True)
+        assert (await _get(session, "/nothing"))[0] == 404
+
+
 async def test_lost_answer_of_a_put_is_an_acknowledged_put():
     # Guards against an operator who puts again what is already in force.
     async with _run() as (fake, view, _, session):
