Test the spread of calls after an outage with 48 clients

With 24 clients a run showed 10 calls in the busiest 0.2 s at a bound of 12, close enough to fail by chance. The bound stays at half of the clients. With the random delay replaced by a fixed one, the test still fails.

--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -141,7 +141,7 @@
 async def test_calls_are_spread_when_the_platform_returns():
     # Guards against instances that all call at the moment at which an outage ends. The
     # target is a spread over 2 s, so no 0.2 s holds more than half of the first calls.
-    async with _connect(24) as (fake, *platforms):
+    async with _connect(48) as (fake, *platforms):
         fake.faults.down = True
         returned = []
 
@@ -158,8 +158,8 @@
         tasks = [asyncio.create_task(_follow(platform)) for platform in platforms]
         await asyncio.sleep(4.0)
         calls = fake.calls.total()
-        # Six or seven attempts of each client reach the longest delay.
-        assert calls < 24 * 15
+        # Delays grow to 2 s, so an outage of 4 s takes far fewer calls than 15 each.
+        assert calls < 48 * 15
         fake.faults = PlatformFaults()
         async with asyncio.timeout(3.0):
             await asyncio.gather(*tasks)
@@ -167,7 +167,7 @@
         busiest = max(
             sum(start <= time < start + 0.2 for time in returned) for start in returned
         )
-        assert busiest <= 12
+        assert busiest <= 24
 
 
 def test_delays_after_failures_are_bounded_and_end_with_success():
