--- a/basilwick/testing.py
+++ b/basilwick/testing.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
+from orjson import dumps
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable, Mapping
@@ -186,7 +187,7 @@
     platform : str
         Address of the platform.
     more : mapping, optional
-        Further tables of strings and numbers.
+        Further tables of strings, numbers, booleans and lists.
     """
     roles = zip(("caller", "forward", "peer", "admin"), ports, strict=True)
     tables: dict[str, Mapping[str, Any]] = {
@@ -198,10 +199,8 @@
     lines = []
     for table, values in tables.items():
         lines.append(f"[{table}]")
-        lines += [
-            f'{key} = "{value}"' if isinstance(value, str) else f"{key} = {value}"
-            for key, value in values.items()
-        ]
+        # JSON strings, numbers, booleans and lists are written the same in TOML.
+        lines += [f"{key} = {dumps(value).decode()}" for key, value in values.items()]
     path.write_text("\n".join(lines) + "\n")
 
 
