--- a/basilwick/fakes/backend.py
+++ b/basilwick/fakes/backend.py
@@ -249,7 +249,7 @@
 
     def _check(self, order: Order) -> None:
         if order.deadline_at is not None and monotonic() >= order.deadline_at:
-            raise RefusedError(503, "deadline passed")
+            raise RefusedError(409, "deadline passed")
         clock_ms = self.clock_ms
         expires_at_ms = order.expires_at_ms if self.reports_clock else None
         if expires_at_ms is not None and clock_ms >= expires_at_ms:
