--- a/basilwick/transport/channel.py
+++ b/basilwick/transport/channel.py
@@ -347,12 +347,10 @@
     while sent < body.length:
         chunk = await body.read_chunk()
         if isinstance(chunk, Refusal):
-            return refuse(chunk.kind, chunk.message, outcome=Outcome.UNKNOWN)
+            return chunk
         if not keep_sending():
             return refuse(
-                ErrorKind.NO_PERMISSION,
-                "the right to send ended during the body",
-                outcome=Outcome.UNKNOWN,
+                ErrorKind.NO_PERMISSION, "the right to send ended during the body"
             )
         sent += len(chunk)
         if sent >= body.length:
