--- a/basilwick/core/errors.py
+++ b/basilwick/core/errors.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from attrs import define, frozen
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 __all__ = [
     "BasilwickError",
     "ConflictError",
@@ -14,6 +18,7 @@
     "Outcome",
     "PlatformUnavailableError",
     "Refusal",
+    "TooLargeError",
     "refuse",
 ]
 
@@ -163,12 +168,29 @@
     ----------
     revision : int
         Revision now stored.
+    diff : list of str
+        What the refused change would change in the stored record.
     """
 
-    def __init__(self, message: str, revision: int):
+    def __init__(self, message: str, revision: int, diff: Sequence[str] = ()):
         super().__init__(message)
         self.revision = revision
+        self.diff = list(diff)
 
 
 class InvalidRecordError(BasilwickError):
-    """A record does not match its schema."""
+    """A record does not match its schema or breaks a rule about its changes.
+
+    Attributes
+    ----------
+    faults : list of str
+        All faults, each with the name of the field.
+    """
+
+    def __init__(self, message: str, faults: Sequence[str] = ()):
+        super().__init__(message)
+        self.faults = list(faults) or [message]
+
+
+class TooLargeError(BasilwickError):
+    """A value is larger than the platform takes."""
