Record decisions as traces and replay them

A trace holds each event with its clock and seed, and the actions that followed; 'basilwick replay' feeds it to a new decision object and reports the first action that differs.

--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -14,6 +14,7 @@
 from basilwick.cli.fake import fake
 from basilwick.cli.process import run_until_signal
 from basilwick.cli.record import record
+from basilwick.cli.replay import replay
 from basilwick.cli.status import explain, status
 from basilwick.runtime.instance import Instance
 from basilwick.settings import describe_settings, load_settings
@@ -54,5 +55,6 @@
 main.add_command(demo)
 main.add_command(fake)
 main.add_command(record)
+main.add_command(replay)
 main.add_command(status)
 main.add_command(explain)
--- a/basilwick/core/assignment.py
+++ b/basilwick/core/assignment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from attrs import evolve, frozen
 from orjson import dumps, loads
@@ -345,36 +345,40 @@
             If the value is not a block document of a known schema.
         """
         try:
-            data = loads(value)
-            if data["schema"] != _SCHEMA:
-                raise InvalidRecordError(
-                    f"block document has schema {data['schema']!r}; this program "
-                    f"reads {_SCHEMA}: upgrade the instance"
-                )
-            servers = data["servers"]
-            return cls(
-                service=data["service"],
-                block=data["block"],
-                generation=data["generation"],
-                home=data["home"],
-                state=BlockState(data["state"]),
-                released_from=data["released_from"],
-                write_id=data["write_id"],
-                shard_count=data["shard_count"],
-                shards={
-                    entry[0]: decode_ownership(entry[1:], servers)
-                    for entry in data["shards"]
-                },
-                hot={
-                    int(entry[0], 16): decode_ownership(entry[1:], servers)
-                    for entry in data["hot"]
-                },
-            )
+            return cls.from_data(loads(value))
         except (ValueError, KeyError, TypeError, IndexError) as error:
             raise InvalidRecordError(
                 f"value is not a block document ({error!r}); restore it from history"
             ) from error
 
+    @classmethod
+    def from_data(cls, data: dict[str, Any]) -> BlockDocument:
+        """Read a document from parsed JSON; errors are those of wrong types."""
+        if data["schema"] != _SCHEMA:
+            raise InvalidRecordError(
+                f"block document has schema {data['schema']!r}; this program "
+                f"reads {_SCHEMA}: upgrade the instance"
+            )
+        servers = data["servers"]
+        return cls(
+            service=data["service"],
+            block=data["block"],
+            generation=data["generation"],
+            home=data["home"],
+            state=BlockState(data["state"]),
+            released_from=data["released_from"],
+            write_id=data["write_id"],
+            shard_count=data["shard_count"],
+            shards={
+                entry[0]: decode_ownership(entry[1:], servers)
+                for entry in data["shards"]
+            },
+            hot={
+                int(entry[0], 16): decode_ownership(entry[1:], servers)
+                for entry in data["hot"]
+            },
+        )
+
 
 def block_key(service: ServiceName, block: BlockIndex) -> str:
     """Return the platform key of a block document."""
--- a/basilwick/core/grants.py
+++ b/basilwick/core/grants.py
@@ -20,7 +20,14 @@
         ServerName,
     )
 
-__all__ = ["NOT_GRANTED", "GrantContent", "build_grant", "compute_grant_end"]
+__all__ = [
+    "NOT_GRANTED",
+    "Grant",
+    "GrantContent",
+    "GrantReply",
+    "build_grant",
+    "compute_grant_end",
+]
 
 #: Fence that no request carries. It tells the owner of a shard that a hot key of the
 #: shard is not granted, so that the shard's fence does not admit requests for it.
@@ -46,17 +53,46 @@
     blocks: tuple[dict[str, Any], ...]
     generations: Mapping[BlockId, Generation]
 
-    def encode(self, expires_at_ms: int, known_digest: str | None = None) -> bytes:
-        """Return the message; without blocks if the server has them already."""
+
+@frozen
+class Grant:
+    """A grant message.
+
+    Attributes
+    ----------
+    content : GrantContent
+        What the server may run.
+    expires_at_ms : int
+        End on the server's clock.
+    known_digest : str or None
+        Digest of the server's last reply; the blocks are left out if it has them.
+    """
+
+    content: GrantContent
+    expires_at_ms: int
+    known_digest: str | None = None
+
+    def encode(self) -> bytes:
+        """Return the body of ``PUT /grants``."""
         message: dict[str, Any] = {
-            "expires_at_ms": expires_at_ms,
-            "digest": self.digest,
+            "expires_at_ms": self.expires_at_ms,
+            "digest": self.content.digest,
         }
-        if known_digest != self.digest:
-            message["blocks"] = self.blocks
+        if self.known_digest != self.content.digest:
+            message["blocks"] = self.content.blocks
         return dumps(message)
 
 
+@frozen
+class GrantReply:
+    """Answer of a server to ``GET /grants`` or ``PUT /grants``."""
+
+    clock_ms: float | None
+    incarnation: str
+    checks: bool
+    digest: str
+
+
 def build_grant(
     server: ServerName,
     documents: Iterable[BlockDocument],
--- a/tests/core/test_detection.py
+++ b/tests/core/test_detection.py
@@ -9,7 +9,7 @@
 
 from basilwick.core.assignment import BlockDocument, Ownership
 from basilwick.core.detection import ServerDetector
-from basilwick.core.grants import build_grant, compute_grant_end
+from basilwick.core.grants import Grant, build_grant, compute_grant_end
 from basilwick.core.hotkeys import LoadMeter, merge_reports
 from basilwick.fakes.grants import GrantTable
 
@@ -61,7 +61,7 @@
     table = GrantTable()
     for document in (before, after, before):
         content = build_grant("s1", [document], lambda *_: inf, 0.0)
-        table.apply(loads(content.encode(1000)))
+        table.apply(loads(Grant(content, 1000).encode()))
     # The last message came from a gateway that did not know the move.
     (entry,) = build_grant("s1", [after], lambda *_: inf, 0.0).blocks
     assert entry["hot"] == {f"{KEY:016x}": 0}
@@ -75,7 +75,7 @@
     content = build_grant("s1", [moved], lambda *_: inf, 0.0)
     assert content.generations == {("clue", 0): 2}
     assert content.blocks[0]["shards"] == {}
-    assert b"blocks" not in content.encode(1, content.digest)
+    assert b"blocks" not in Grant(content, 1, content.digest).encode()
     waiting = build_grant("s2", [moved], lambda *_: 5.0, 4.9)
     active = build_grant("s2", [moved], lambda *_: 5.0, 5.0)
     assert (waiting.blocks[0]["shards"], active.blocks[0]["shards"]) == ({}, {"0": 2})
