Take test ports below the range of outgoing connections

A port given to a listener was taken by an outgoing connection of the same process before its use: the demonstration failed to bind 127.0.0.1:39187.

--- a/basilwick/testing.py
+++ b/basilwick/testing.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 from contextlib import AsyncExitStack, asynccontextmanager
 from hashlib import sha256
+from random import SystemRandom
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from time import monotonic
@@ -36,19 +37,32 @@
 ]
 
 _POLL_S = 0.02
+_PORT_RANGE = (12_000, 32_000)
+# Seeded by the system, because several test runs share the machine.
+_RANDOM = SystemRandom()
+_given_ports: set[int] = set()
 
 
 def take_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that are free now."""
-    sockets = [socket(AF_INET, SOCK_STREAM) for _ in range(count)]
-    try:
-        for sock in sockets:
+    """Return ports of 127.0.0.1 that are free now.
+
+    They lie below the range from which the system takes ports of outgoing connections
+    and of listeners on port 0, so that none of these takes one before its use.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _RANDOM.randrange(*_PORT_RANGE)
+        if port in _given_ports:
+            continue
+        with socket(AF_INET, SOCK_STREAM) as sock:
             sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        ports.append(port)
+    return ports
 
 
 async def wait_for_port(port: int, timeout_s: float = 15.0) -> None:
