--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -14,7 +14,9 @@
 from basilwick.cli.fake import fake
 from basilwick.cli.process import run_until_signal
 from basilwick.cli.record import record
+from basilwick.cli.replay import replay
 from basilwick.cli.status import explain, status
+from basilwick.logs import configure_logs
 from basilwick.runtime.instance import Instance
 from basilwick.settings import describe_settings, load_settings
 
@@ -35,7 +37,13 @@
 @argument("settings", type=PathType(path_type=Path))
 def serve(settings: Path) -> None:
     """Run an entry instance with the settings of a TOML file."""
-    asyncio.run(run_until_signal(Instance(load_settings(settings))))
+    loaded = load_settings(settings)
+    configure_logs(
+        form="json" if loaded.logs.json else "text",
+        level=loaded.logs.level.upper(),
+        secrets=[loaded.security.shared_key],
+    )
+    asyncio.run(run_until_signal(Instance(loaded)))
 
 
 @main.command()
@@ -54,5 +62,6 @@
 main.add_command(demo)
 main.add_command(fake)
 main.add_command(record)
+main.add_command(replay)
 main.add_command(status)
 main.add_command(explain)
