--- a/basilwick/runtime/instance.py
+++ b/basilwick/runtime/instance.py
@@ -27,8 +27,8 @@
 from basilwick.core.records import ServerRecord, ServiceRecord, decode_record
 from basilwick.core.routing import Location, Peer
 from basilwick.core.timing import PERMISSION_TERM_S
+from basilwick.metrics import Metrics
 from basilwick.platform.http import HttpPlatform
-from basilwick.runtime.request_metrics import RequestMetrics
 from basilwick.runtime.request_path import RequestPath
 from basilwick.runtime.request_server import RequestServer
 
@@ -68,7 +68,7 @@
             OperationLedger(
                 view.self_peer.name, view.self_peer.incarnation, shared_key.encode()
             ),
-            RequestMetrics(),
+            Metrics(),
             shared_key,
         )
         self._requests = RequestServer(
--- a/basilwick/runtime/operation_path.py
+++ b/basilwick/runtime/operation_path.py
@@ -11,6 +11,7 @@
 from basilwick.core.errors import ErrorKind, Outcome, Refusal, refuse
 from basilwick.core.hashing import compute_key_hash
 from basilwick.core.operations import Begin, StoredAnswer, Token, parse_token
+from basilwick.logs import log_decision
 from basilwick.transport.exchange import Answer
 from basilwick.transport.handover import decode_handover, encode_handover
 
@@ -140,7 +141,13 @@
     ) -> Answer | Refusal:
         key_hash = compute_key_hash(request.service, request.key)
         decision = self.ledger.begin(token, key_hash, self._clock())
-        logger.info("token decision={} sequence={}", decision, token.sequence)
+        log_decision(
+            "token decided",
+            result=decision.value if isinstance(decision, Begin) else "repeated",
+            service=request.service,
+            issuer=token.issuer,
+            sequence=token.sequence,
+        )
         if isinstance(decision, Refusal):
             return decision
         if isinstance(decision, StoredAnswer):
--- a/basilwick/runtime/request_path.py
+++ b/basilwick/runtime/request_path.py
@@ -5,12 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from basilwick.core.errors import ErrorKind, Outcome, Refusal, refuse
 from basilwick.core.hashing import compute_key_hash, rank_candidates
 from basilwick.core.limits import Result, ResultKind, Ticket
 from basilwick.core.retries import RetryPolicy
+from basilwick.logs import log_decision
 from basilwick.runtime.operation_path import OperationPath
 from basilwick.runtime.send_right import SendRight
 from basilwick.runtime.server_limits import HedgeSlot, ServerLimits
@@ -26,7 +25,7 @@
     from basilwick.core.records import ServerRecord, ServiceRecord
     from basilwick.core.routing import Location, Peer, RoutingView
     from basilwick.core.types import MonotonicSeconds
-    from basilwick.runtime.request_metrics import RequestMetrics
+    from basilwick.metrics import Metrics
     from basilwick.transport.exchange import Answer, Request
 
 __all__ = ["RequestPath"]
@@ -56,8 +55,8 @@
         Source of jitter.
     ledger : OperationLedger
         At-most-once ledger of this instance.
-    metrics : RequestMetrics
-        Counters.
+    metrics : Metrics
+        Counters of the instance.
     shared_key : str
         Key of the forward ports.
     """
@@ -68,7 +67,7 @@
         clock: Callable[[], MonotonicSeconds],
         rng: Random,
         ledger: OperationLedger,
-        metrics: RequestMetrics,
+        metrics: Metrics,
         shared_key: str,
     ):
         self.view = view
@@ -77,10 +76,16 @@
         self._metrics = metrics
         self.limits = ServerLimits(clock, metrics)
         self.backends = BackendClient(
-            clock, view.record_result, self.limits.observe_incarnation
+            clock,
+            view.record_result,
+            self.limits.observe_incarnation,
+            lambda service: metrics.silent_connections.labels(service).inc(),
         )
         self.forwards = ForwardClient(clock, shared_key)
         self.operations = OperationPath(view, clock, ledger, self.forwards, self.route)
+        # Looking a child up by its labels costs more than counting.
+        self._to_gateway = metrics.forwards.labels("gateway")
+        self._to_next_gateway = metrics.forwards.labels("next_gateway")
         self._policies: dict[str, RetryPolicy] = {}
         self._held = 0
         self._change: asyncio.Future[None] | None = None
@@ -127,13 +132,18 @@
             return refuse(
                 ErrorKind.UNKNOWN_SERVICE, f"no service {request.service[:100]!r}"
             )
+        started_at = self.clock()
         if request.token is not None and not request.ledger_checked:
             result = await self.operations.handle(request, service)
         else:
             result = await self.route(request, service, request.hops == 0)
         if request.hops == 0:
-            kind = result.kind.value if isinstance(result, Refusal) else "answered"
-            self._metrics.count_request(service.name, kind)
+            self._metrics.observe_request(
+                service.name,
+                request.operation.value,
+                result.kind.value if isinstance(result, Refusal) else "ok",
+                self.clock() - started_at,
+            )
         return result
 
     async def route(
@@ -168,7 +178,7 @@
             )
             if delay_s is None:
                 return result
-            self._metrics.count_send(service.name, "retry")
+            self._metrics.retries.labels(service.name, "sent").inc()
             await asyncio.sleep(delay_s)
 
     async def _route_once(
@@ -183,6 +193,7 @@
                 return gateway
             if gateway.name != self.view.self_peer.name:
                 self._log(location, request, gateway.name, "forwarded")
+                self._to_gateway.inc()
                 result = await self.forwards.send(gateway, request)
                 if not isinstance(result, Refusal):
                     return result
@@ -195,7 +206,7 @@
                 if not _was_unreachable(result):
                     return result
                 # Nothing was sent, so the next gateway needs no retry budget.
-                self._metrics.count_send(service.name, "next_gateway")
+                self._to_next_gateway.inc()
                 continue
             result = await self._serve(request, service, location, policy)
             if result is not None:
@@ -345,15 +356,15 @@
     def _log(
         self, location: Location, request: Request, target: str, reason: str
     ) -> None:
-        logger.info(
-            "request {} service={} shard={} generation={} fence={} target={} hops={}",
-            reason,
-            request.service,
-            location.shard,
-            location.generation,
-            location.fence,
-            target,
-            request.hops,
+        log_decision(
+            "request routed",
+            result=reason,
+            service=request.service,
+            shard=location.shard,
+            generation=location.generation,
+            fence=location.fence,
+            target=target,
+            hops=request.hops,
         )
 
     async def _refresh(self) -> None:
@@ -362,6 +373,7 @@
             served = [record.name for record in self.view.list_served()]
             for name in self.limits.refresh(served):
                 self.backends.forget(name)
+            self._metrics.ledger_entries.set(len(self.operations.ledger))
 
 
 def _was_unreachable(refusal: Refusal) -> bool:
--- a/basilwick/runtime/server_limits.py
+++ b/basilwick/runtime/server_limits.py
@@ -8,7 +8,7 @@
 
 from attrs import define
 
-from basilwick.core.limits import Result, ResultKind, ServerLimiter, Ticket
+from basilwick.core.limits import Result, ServerLimiter, Ticket
 from basilwick.transport.exchange import QUEUE_CLASSES
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from basilwick.core.records import ServerRecord
     from basilwick.core.retries import RetryPolicy
     from basilwick.core.types import MonotonicSeconds
-    from basilwick.runtime.request_metrics import RequestMetrics
+    from basilwick.metrics import Metrics
     from basilwick.transport.exchange import Request
 
 __all__ = ["HedgeSlot", "ServerLimits"]
@@ -42,7 +42,7 @@
     record: ServerRecord
     ticket: Ticket
     policy: RetryPolicy
-    metrics: RequestMetrics
+    metrics: Metrics
 
     def try_open(self) -> bool:
         """Take the slot and the budget of a second attempt."""
@@ -50,13 +50,16 @@
         if not limiter.try_extra(self.ticket):
             return False
         if not self.policy.hedges.try_spend():
-            self.close()
+            self._release("budget_spent")
             return False
-        self.metrics.count_send(self.record.service, "hedge")
         return True
 
-    def close(self) -> None:
-        """Give the slot back."""
+    def close(self, won: bool) -> None:
+        """Give the slot back; ``won`` tells whether the second attempt answered."""
+        self._release("won" if won else "lost")
+
+    def _release(self, result: str) -> None:
+        self.metrics.hedges.labels(self.record.service, result).inc()
         limiter = self.limits.get(self.record)
         self.limits.wake(limiter.release_extra(self.limits.clock()))
 
@@ -68,14 +71,15 @@
     ----------
     clock : callable
         Local monotonic clock in seconds.
-    metrics : RequestMetrics
+    metrics : Metrics
         Gets limits and queue lengths.
     """
 
-    def __init__(self, clock: Callable[[], MonotonicSeconds], metrics: RequestMetrics):
+    def __init__(self, clock: Callable[[], MonotonicSeconds], metrics: Metrics):
         self.clock = clock
         self._metrics = metrics
         self._entries: dict[str, _Entry] = {}
+        self._reported: set[str] = set()
 
     def get(self, record: ServerRecord) -> ServerLimiter:
         """Return the limiter of a server, with the slots of its present record."""
@@ -114,8 +118,6 @@
         entry = self._entries[record.name]
         entry.used_at = now = self.clock()
         self.wake(entry.limiter.finish(ticket, result, now))
-        if result.latency_s is not None and result.kind is ResultKind.SUCCESS:
-            self._metrics.observe_latency(record.service, record.name, result.latency_s)
 
     def observe_incarnation(self, name: str, incarnation: str) -> None:
         """Pass on the incarnation that a server reported."""
@@ -142,7 +144,9 @@
             and now - entry.used_at > _FORGET_AFTER_S
         ]
         for name in dropped:
-            self._metrics.forget_server(self._entries.pop(name).record.service, name)
+            del self._entries[name]
+        self._metrics.forget_servers(set(dropped) & self._reported)
+        self._reported -= set(dropped)
         medians: dict[str, dict[str, float]] = {}
         for name, entry in self._entries.items():
             value = entry.limiter.latencies.quantile(0.5)
@@ -153,9 +157,10 @@
             peers = medians.get(service, {})
             others = [value for peer, value in peers.items() if peer != name]
             entry.limiter.peer_median_s = median(others) if others else None
-            self._metrics.set_limits(
-                service, name, entry.limiter.limit, entry.limiter.queued
-            )
+            self._metrics.server_limit.labels(name).set(entry.limiter.limit)
+            self._metrics.server_in_flight.labels(name).set(entry.limiter.running)
+            self._metrics.server_queue.labels(name).set(entry.limiter.queued)
+            self._reported.add(name)
         return dropped
 
     def wake(self, started: list[Ticket]) -> None:
--- a/basilwick/transport/backend.py
+++ b/basilwick/transport/backend.py
@@ -71,8 +71,8 @@
     def try_open(self) -> bool:
         """Take the slot and the budget of a second attempt."""
 
-    def close(self) -> None:
-        """Give the slot back."""
+    def close(self, won: bool) -> None:
+        """Give the slot back; ``won`` tells whether the second attempt answered."""
 
 
 @define(eq=False)
@@ -105,6 +105,8 @@
         Called with server name, success and time as evidence about the server.
     on_incarnation : callable
         Called with server name and incarnation whenever a server reports it.
+    on_silent : callable
+        Called with the service when a connection went silent.
     """
 
     def __init__(
@@ -112,10 +114,12 @@
         clock: Callable[[], MonotonicSeconds],
         on_result: Callable[[str, bool, MonotonicSeconds], None] = lambda *_: None,
         on_incarnation: Callable[[str, str], None] = lambda *_: None,
+        on_silent: Callable[[str], None] = lambda _: None,
     ):
         self._clock = clock
         self.on_result = on_result
         self.on_incarnation = on_incarnation
+        self.on_silent = on_silent
         self._servers: dict[str, _Server] = {}
 
     async def start(self) -> None:
@@ -210,6 +214,8 @@
                 Channel(record.address, bound, self._clock),
                 Channel(record.address, 1, self._clock),
             )
+            service = record.service
+            server.channel.on_silent = lambda: self.on_silent(service)
         server.channel.pool.bound = max(1, record.connections - 1)
         return server
 
@@ -294,11 +300,12 @@
 
 
 def _end_hedge(task: asyncio.Task[Reply | Refusal], race: _Race) -> None:
-    race.gate.close()
-    if task.cancelled() or task.exception() is not None:
-        return
     first = race.first.connection
-    if isinstance(task.result(), Reply) and first is not None:
+    answered = not (task.cancelled() or task.exception()) and isinstance(
+        task.result(), Reply
+    )
+    race.gate.close(answered and first is not None)
+    if answered and first is not None:
         first.fail(_HedgeWonError("the second attempt got the answer"))
 
 
--- a/basilwick/transport/channel.py
+++ b/basilwick/transport/channel.py
@@ -96,6 +96,7 @@
     request: Request
     sent_at: MonotonicSeconds
     handle: asyncio.TimerHandle | None = None
+    silent: bool = False
 
     def start(self) -> None:
         if self.plan.start_hedge is not None:
@@ -130,6 +131,9 @@
             now,
             max(channel.silence_floor_s, channel.silence_limit_s),
         ):
+            if not self.silent:
+                self.silent = True
+                channel.on_silent()
             channel.pool.discard_unheard(self.sent_at)
             # An operation that must not run twice waits for its answer until its
             # deadline; closing its connection could only lose the answer.
@@ -161,6 +165,7 @@
     loop: asyncio.AbstractEventLoop = field(factory=asyncio.get_running_loop)
     latencies: LatencyWindow = field(factory=LatencyWindow)
     answered_at: MonotonicSeconds = float("-inf")
+    on_silent: Callable[[], None] = lambda: None
     pool: ConnectionPool = field(init=False)
     _host_field: bytes = field(init=False)
     _attempt_prefix: str = field(init=False)
--- a/tests/request_path/request_harness.py
+++ b/tests/request_path/request_harness.py
@@ -9,13 +9,12 @@
 
 from aiohttp import ClientSession, web
 from attrs import define, evolve, field
-from prometheus_client import CollectorRegistry
 
 from basilwick.core.hashing import compute_key_hash
 from basilwick.core.operations import OperationLedger
 from basilwick.core.records import ServerRecord, ServiceRecord
 from basilwick.core.routing import Location, Peer
-from basilwick.runtime.request_metrics import RequestMetrics
+from basilwick.metrics import Metrics
 from basilwick.runtime.request_path import RequestPath
 from basilwick.runtime.request_server import RequestServer
 
@@ -129,7 +128,7 @@
                 monotonic,
                 Random(number),
                 OperationLedger(name, own.incarnation, b"secret"),
-                RequestMetrics(CollectorRegistry()),
+                Metrics(),
                 SHARED_KEY,
             )
             server = RequestServer(
