--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -64,6 +64,15 @@
         self.received_at = self._clock()
         super().data_received(data)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on reading; does nothing when reading was not paused.
+
+        aiohttp runs the parser here at each read to go on with decompression, which
+        these connections do not use.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     @property
     def usable(self) -> bool:
         """Whether another request can be sent; unexpected bytes make it unusable."""
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -8,6 +8,7 @@
 
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web import RequestHandler, Server
+from loguru import logger
 
 from basilwick.core.errors import ErrorKind, Refusal, refuse
 from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
@@ -115,13 +116,20 @@
         self.started = True
         self.status = answer.status
         if not isinstance(body, bytes):
-            await request.writer.write(b"".join(lines))
+            self._write(b"".join(lines))
             await self._send_stream(body, chunked)
             return
         if request.method != "HEAD":
             lines.append(body)
-        await request.writer.write(b"".join(lines))
-        await request.writer.drain()
+        self._write(b"".join(lines))
+        if request.protocol.writing_paused:
+            await request.writer.drain()
+
+    def _write(self, data: bytes) -> None:
+        transport = self._request.transport
+        if transport is None:
+            raise ConnectionResetError("the caller has left")
+        transport.write(data)
 
     async def _send_stream(self, body: Any, chunked: bool) -> None:
         writer = self._request.writer
@@ -135,13 +143,13 @@
                     ended = True
                     break
                 if chunked:
-                    await writer.write(b"%x\r\n" % len(chunk))
-                await writer.write(chunk)
+                    self._write(b"%x\r\n" % len(chunk))
+                self._write(chunk)
                 if chunked:
-                    await writer.write(b"\r\n")
+                    self._write(b"\r\n")
                 await writer.drain()
             if ended and chunked:
-                await writer.write(b"0\r\n\r\n")
+                self._write(b"0\r\n\r\n")
         finally:
             body.close()
             if not ended:
@@ -161,7 +169,12 @@
         message: str | None = None,
     ) -> Any:
         if status >= 500:
-            return super().handle_error(request, status, exc, message)
+            # Part of an answer may be written, and whether the operation ran is not
+            # known, so the connection ends without another answer.
+            logger.opt(exception=exc).error("request failed unexpectedly")
+            response = RawResponse(request)
+            response.abort()
+            return response
         kind = ErrorKind.BAD_REQUEST
         text = "the request cannot be read"
         if isinstance(exc, LineTooLong) or "too many headers" in str(exc).lower():
