--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -1,125 +1,195 @@
-"""Registry of an instance's metrics, and those of the control decisions.
+"""Metrics of an instance.
 
-Labels are services, reasons, data centres and other small sets. Keys, shards and
-callers never become labels, because each new value would take memory for good. The
-request path defines its own metrics in ``runtime/request_metrics.py``.
+Labels are services, error kinds and other small sets. Keys, shards and callers never
+become labels, because each new value would take memory for good.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from prometheus_client import (
     CollectorRegistry,
     Counter,
-    GCCollector,
+    Gauge,
     Histogram,
     ProcessCollector,
+    generate_latest,
 )
-from prometheus_client.core import GaugeMetricFamily
-from prometheus_client.registry import Collector
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable
 
-    from basilwick.core.routing import RoutingView
-    from basilwick.core.types import DataCentreName
+__all__ = ["UNKNOWN", "Metrics"]
 
-__all__ = ["ControlCollector", "ControlMetrics", "create_registry"]
+#: Stands in for names that no record defines, which callers could invent at will.
+UNKNOWN = "unknown"
 
+_SECONDS = (
+    0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05,
+    0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 120,
+)  # fmt: skip
 
-def create_registry() -> CollectorRegistry:
-    """Return a registry with the CPU time and memory of the process.
+
+class Metrics:
+    """Metric definitions of one instance, in a registry of their own.
 
     Several instances can run in one process, so the global registry is not used.
     """
-    registry = CollectorRegistry()
-    ProcessCollector(registry=registry)
-    GCCollector(registry=registry)
-    return registry
-
 
-class ControlMetrics:
-    """Counts what the assigner of an instance does.
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        # CPU time and memory, of which the control decisions may use only a share.
+        ProcessCollector(registry=self.registry)
+        # Looking a child up by its labels costs more than counting.
+        self._children: dict[tuple[str, str, str], tuple[Counter, Histogram]] = {}
+        self._define_requests()
+        self._define_servers()
+        self._define_control()
+        self._define_platform()
+
+    def _define_requests(self) -> None:
+        r = self.registry
+        self.requests = Counter(
+            "basilwick_requests",
+            "Requests answered to callers; result is ok or an error kind.",
+            ("service", "operation", "result"),
+            registry=r,
+        )
+        self.request_seconds = Histogram(
+            "basilwick_request_seconds",
+            "Time from the arrival of a request to its whole answer.",
+            ("service", "operation"),
+            buckets=_SECONDS,
+            registry=r,
+        )
+        self.forwards = Counter(
+            "basilwick_forwards",
+            "Requests forwarded to another instance.",
+            ("reason",),
+            registry=r,
+        )
+        self.retries = Counter(
+            "basilwick_retries",
+            "Requests sent again; result is sent or budget_spent.",
+            ("service", "result"),
+            registry=r,
+        )
+        self.hedges = Counter(
+            "basilwick_hedges",
+            "Lookups sent a second time; result is won, lost or budget_spent.",
+            ("service", "result"),
+            registry=r,
+        )
+        self.silent_connections = Counter(
+            "basilwick_silent_connections",
+            "Connections replaced because they went silent.",
+            ("service",),
+            registry=r,
+        )
+        self.ledger_entries = Gauge(
+            "basilwick_ledger_entries",
+            "At-most-once operations remembered.",
+            registry=r,
+        )
 
-    Parameters
-    ----------
-    registry : CollectorRegistry
-        Where the metrics are registered.
-    """
+    def _define_servers(self) -> None:
+        r = self.registry
+        # An instance is the gateway of few servers; ``forget_servers`` removes others.
+        self.server_limit = Gauge(
+            "basilwick_server_limit",
+            "Requests allowed at once to a server.",
+            ("server",),
+            registry=r,
+        )
+        self.server_in_flight = Gauge(
+            "basilwick_server_in_flight",
+            "Requests running at a server.",
+            ("server",),
+            registry=r,
+        )
+        self.server_queue = Gauge(
+            "basilwick_server_queue",
+            "Requests waiting for a server.",
+            ("server",),
+            registry=r,
+        )
 
-    def __init__(self, registry: CollectorRegistry):
-        self._moves = Counter(
+    def _define_control(self) -> None:
+        r = self.registry
+        self.moves = Counter(
             "basilwick_moves",
-            "Shards and hot keys given to another server by this instance",
+            "Shards and hot keys given to another server by this instance.",
             ("service", "reason"),
-            registry=registry,
+            registry=r,
         )
-        self._unavailable = Histogram(
+        self.unavailable_seconds = Histogram(
             "basilwick_unavailable_seconds",
-            "Time from the declared loss of a server to the new grant of its shards",
+            "Time from the declared loss of a server to the new grant of its shards.",
             ("service",),
             buckets=(0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.75, 2, 3, 5, 10, 60),
-            registry=registry,
+            registry=r,
+        )
+        self.blocks_permitted = Gauge(
+            "basilwick_blocks_permitted",
+            "Blocks for which this instance holds a permission to send.",
+            registry=r,
+        )
+        self.members = Gauge(
+            "basilwick_members",
+            "Live instances known, by data centre.",
+            ("data_centre",),
+            registry=r,
+        )
+        self.revision = Gauge(
+            "basilwick_configuration_revision",
+            "Newest configuration revision applied.",
+            registry=r,
+        )
+        self.ready = Gauge(
+            "basilwick_ready", "1 when the instance takes requests.", registry=r
+        )
+        self.event_loop_lag_seconds = Gauge(
+            "basilwick_event_loop_lag_seconds",
+            "How late the last timer of the control decisions ran.",
+            registry=r,
         )
 
-    def count_moves(self, service: str, reason: str, count: int) -> None:
-        """Count shards and hot keys that got a new owner."""
-        self._moves.labels(service, reason).inc(count)
-
-    def observe_unavailable(self, service: str, seconds: float) -> None:
-        """Record for how long the shards of a lost server had no usable owner."""
-        self._unavailable.labels(service).observe(seconds)
-
-
-class _Configuration(Protocol):
-    @property
-    def revision(self) -> int:
-        """Newest revision applied."""
-
-
-class ControlCollector(Collector):
-    """Reads the state of the control decisions when metrics are collected.
-
-    Parameters
-    ----------
-    routing : RoutingView
-        Decisions of the instance.
-    configuration : Configuration
-        Records and block documents that the instance knows.
-    data_centre : str
-        Data centre of the instance.
-    """
+    def _define_platform(self) -> None:
+        r = self.registry
+        self.platform_calls = Counter(
+            "basilwick_platform_calls",
+            "Calls to the platform; result is ok, conflict or failed.",
+            ("call", "result"),
+            registry=r,
+        )
+        self.platform_age_seconds = Gauge(
+            "basilwick_platform_age_seconds",
+            "Time since the newest known contact with the platform.",
+            registry=r,
+        )
 
-    def __init__(
-        self,
-        routing: RoutingView,
-        configuration: _Configuration,
-        data_centre: DataCentreName,
-    ):
-        self._routing = routing
-        self._configuration = configuration
-        self._data_centre = data_centre
-
-    def collect(self) -> Iterator[GaugeMetricFamily]:
-        """Return the gauges."""
-        routing = self._routing
-        for name, text, value in (
-            ("ready", "1 when the instance takes requests", routing.ready),
-            (
-                "configuration_revision",
-                "Newest configuration revision applied",
-                self._configuration.revision,
-            ),
-            (
-                "members",
-                "Live instances of the own data centre",
-                len(routing.list_peers(self._data_centre)),
-            ),
-            (
-                "servers_served",
-                "Backend servers for which the instance is the gateway",
-                len(routing.list_served()),
-            ),
-        ):
-            yield GaugeMetricFamily(f"basilwick_{name}", text, value=float(value))
+    def observe_request(
+        self, service: str | None, operation: str, result: str, seconds: float
+    ) -> None:
+        """Count an answered request; ``service`` is None when no record defines it."""
+        labels = (service or UNKNOWN, operation, result)
+        children = self._children.get(labels)
+        if children is None:
+            children = (
+                self.requests.labels(*labels),
+                self.request_seconds.labels(*labels[:2]),
+            )
+            self._children[labels] = children
+        children[0].inc()
+        children[1].observe(seconds)
+
+    def forget_servers(self, names: Iterable[str]) -> None:
+        """Remove the gauges of servers that this instance no longer serves."""
+        for name in names:
+            for gauge in (self.server_limit, self.server_in_flight, self.server_queue):
+                gauge.remove(name)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
