--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -13,6 +13,7 @@
     Counter,
     Gauge,
     Histogram,
+    ProcessCollector,
     generate_latest,
 )
 
@@ -38,6 +39,8 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        # CPU time and memory, of which the control decisions may use only a share.
+        ProcessCollector(registry=self.registry)
         # Looking a child up by its labels costs more than counting.
         self._children: dict[tuple[str, str, str], tuple[Counter, Histogram]] = {}
         self._define_requests()
