Take back a lowered limit that does not lower the latency

A server slowed threefold by something other than its load fell to one slot behind a gateway: benchmarks/limit_designs.py answered 21.7% of requests through one gateway against 98.7% with direct sends. A decrease that does not help is now taken back, and a server at one slot whose latency stays slow without improving is taken for slowed, not cold. The test that expected one slot after 100 slow answers now feeds answers that get faster, as a warming server gives, and a new test covers the lastingly slow server.

--- a/basilwick/core/limits.py
+++ b/basilwick/core/limits.py
@@ -5,7 +5,7 @@
 from bisect import insort
 from collections import deque
 from enum import Enum, IntEnum
-from statistics import median
+from statistics import median_low
 from typing import TYPE_CHECKING, Any
 
 from attrs import define, frozen
@@ -35,6 +35,14 @@
 #: Refusals among the recent results that mean that the server turned cold.
 _COLD_REFUSALS = 3
 _SMOOTHING = 0.1
+#: A decrease that leaves more than this share of the latency did not help: the server
+#: is slow for a reason other than its load, and fewer slots only cost throughput.
+_HELPED_SHARE = 0.85
+#: Growth over a latency accepted as unavoidable that counts as slow again.
+_ACCEPTED_FACTOR = 1.5
+#: Slow successes at one limit after which a server whose latency does not improve
+#: counts as slowed, not cold; a cold one would have warmed.
+_SLOW_SUCCESSES_PER_STEP = 3 * _SUCCESSES_PER_STEP
 
 
 class RequestClass(IntEnum):
@@ -134,6 +142,11 @@
         self._turn = 0
         self._visited = False
         self._step_successes = 0
+        self._slow_successes = 0
+        self._first_slow_s = 0.0
+        #: Limit and latency before the last decrease, until its effect is known.
+        self._trial: tuple[float, float] | None = None
+        self._accepted_s = 0.0
         self._recent: deque[float] = deque(maxlen=_RECENT)
         self._recent_refusals: deque[bool] = deque(maxlen=_RECENT)
         self._baseline_s: float | None = None
@@ -239,7 +252,9 @@
         """Return to one slot and ramp up again."""
         self.cold = self.slots > 1
         self.limit = 1.0
-        self._step_successes = 0
+        self._step_successes = self._slow_successes = 0
+        self._trial = None
+        self._accepted_s = 0.0
         self._recent.clear()
         self._recent_refusals.clear()
 
@@ -316,31 +331,57 @@
         reference_s = self.reference_s
         if reference_s is None:
             self._baseline_s = reference_s = latency_s
+        self._recent.append(latency_s)
+        recent_s = median_low(self._recent)
+        enough = len(self._recent) == _RECENT
         slow_s = _SLOW_FACTOR * reference_s
         if self.cold:
             self._baseline_s = min(self._baseline_s or latency_s, latency_s)
             if latency_s <= slow_s:
                 self._climb()
-            return
-        self._recent.append(latency_s)
-        recent_s = median(self._recent)
-        enough = len(self._recent) == _RECENT
-        if enough and recent_s > _COLD_FACTOR * reference_s:
+            elif enough:
+                self._count_slow(recent_s)
+        elif enough and recent_s > _COLD_FACTOR * max(reference_s, self._accepted_s):
             self.turn_cold()
-        elif enough and recent_s > slow_s:
-            self._decrease(now)
-        else:
+        elif enough and recent_s > max(slow_s, _ACCEPTED_FACTOR * self._accepted_s):
+            self._slow_down(recent_s, now)
+        elif enough or self._trial is None:
             self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
             baseline_s = self._baseline_s or latency_s
             # Follows lasting changes slowly, so that a server that turns cold is
             # compared with what it did before.
             self._baseline_s = baseline_s + 0.005 * (recent_s - baseline_s)
+            if recent_s <= slow_s:
+                self._trial = None
+                self._accepted_s = 0.0
+
+    def _count_slow(self, recent_s: float) -> None:
+        if not self._slow_successes or recent_s < _HELPED_SHARE * self._first_slow_s:
+            # It is still warming: the count starts again.
+            self._slow_successes = 0
+            self._first_slow_s = recent_s
+        self._slow_successes += 1
+        if self._slow_successes >= _SLOW_SUCCESSES_PER_STEP:
+            self._step_successes = _SUCCESSES_PER_STEP
+            self._climb()
+            self._accepted_s = recent_s
+
+    def _slow_down(self, recent_s: float, now: MonotonicSeconds) -> None:
+        if self._trial is not None and recent_s > _HELPED_SHARE * self._trial[1]:
+            self.limit = self._trial[0]
+            self._accepted_s = recent_s
+            self._trial = None
+            return
+        self._trial = self.limit, recent_s
+        self._decrease(now)
+        # The next judgement rests on answers given at the lower limit only.
+        self._recent.clear()
 
     def _climb(self) -> None:
         self._step_successes += 1
         if self._step_successes < _SUCCESSES_PER_STEP:
             return
-        self._step_successes = 0
+        self._step_successes = self._slow_successes = 0
         self.limit = min(float(self.slots), self.limit + 1.0)
         self.cold = self.limit < self.slots
 
