--- a/basilwick/runtime/request_path.py
+++ b/basilwick/runtime/request_path.py
@@ -373,6 +373,7 @@
             served = [record.name for record in self.view.list_served()]
             for name in self.limits.refresh(served):
                 self.backends.forget(name)
+            self.forwards.drop_unused()
             self._metrics.ledger_entries.set(len(self.operations.ledger))
 
 
--- a/basilwick/transport/backend.py
+++ b/basilwick/transport/backend.py
@@ -132,11 +132,11 @@
             server.control.pool.close()
 
     def forget(self, name: str) -> None:
-        """Close the connections to a server that is no longer served."""
+        """Close the connections to a server, each when its request has ended."""
         server = self._servers.pop(name, None)
         if server is not None:
-            server.channel.pool.close()
-            server.control.pool.close()
+            server.channel.pool.retire()
+            server.control.pool.retire()
 
     def count_connections(self, name: str) -> int:
         """Return the number of open connections to a server."""
@@ -232,6 +232,8 @@
             second = await race.task
             return second if isinstance(second, Reply) else first
         finally:
+            # Ends the reference cycle, which would leave each request to the collector.
+            plan.start_hedge = None
             if race.task is not None:
                 race.task.cancel()
 
--- a/basilwick/transport/channel.py
+++ b/basilwick/transport/channel.py
@@ -165,6 +165,7 @@
     loop: asyncio.AbstractEventLoop = field(factory=asyncio.get_running_loop)
     latencies: LatencyWindow = field(factory=LatencyWindow)
     answered_at: MonotonicSeconds = float("-inf")
+    used_at: MonotonicSeconds = float("-inf")
     on_silent: Callable[[], None] = lambda: None
     pool: ConnectionPool = field(init=False)
     _host_field: bytes = field(init=False)
@@ -188,6 +189,7 @@
         ``request.unresolved`` is raised while a byte may have reached the target
         without an answer; it stays raised when the attempt is lost or cancelled.
         """
+        self.used_at = self.clock()
         try:
             connection = await self.pool.acquire()
         except OSError as error:
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -257,6 +257,16 @@
                 connection.abort_transport()
         self._idle = kept
 
+    def retire(self) -> None:
+        """Close idle connections now and the others when their requests end."""
+        self._closed = True
+        for connection in self._idle:
+            self._open.discard(connection)
+            connection.abort_transport()
+        self._idle.clear()
+        while self._waiters:
+            self._wake_one()
+
     def close(self) -> None:
         """Close all connections."""
         self._closed = True
--- a/basilwick/transport/forward.py
+++ b/basilwick/transport/forward.py
@@ -20,6 +20,9 @@
 
 #: Connections to one instance.
 _CONNECTIONS = 256
+#: Time in seconds after which the connections to an instance are closed; instances are
+#: replaced all the time, and each replacement has another address.
+_UNUSED_S = 60.0
 #: Three intervals of the interim answers that a living instance sends while it holds a
 #: request.
 _SILENCE_FLOOR_S = 0.15
@@ -52,10 +55,13 @@
         for channel in self._channels.values():
             channel.pool.close()
 
-    def retain(self, addresses: set[str]) -> None:
-        """Close the connections to all other addresses."""
-        for address in self._channels.keys() - addresses:
-            self._channels.pop(address).pool.close()
+    def drop_unused(self) -> None:
+        """Close the connections to instances that are gone or not chosen any more."""
+        now = self._clock()
+        for address, channel in list(self._channels.items()):
+            if now - channel.used_at > _UNUSED_S:
+                del self._channels[address]
+                channel.pool.retire()
 
     async def send(self, peer: Peer, request: Request) -> Answer | Refusal:
         """Forward a request.
--- a/tests/request_path/test_ports.py
+++ b/tests/request_path/test_ports.py
@@ -12,6 +12,8 @@
 from orjson import loads
 from request_harness import open_raw, reply, run_cluster, run_server
 
+from basilwick.core.timing import PERMISSION_TERM_S
+
 LARGE = bytes(range(256)) * 4096
 
 
@@ -117,20 +119,48 @@
         assert sink.bodies == []
 
 
+class Half(Sink):
+    """Backend server that counts the bodies that were cut off."""
+
+    failed = 0
+
+    async def __call__(self, request):
+        self.started += 1
+        try:
+            await request.content.read()
+        except BaseException:
+            self.failed += 1
+            raise
+
+
+async def test_upload_ends_when_its_permission_ends():
+    # Guards against the rest of a body sent to a server whose shard has a new owner.
+    half = Half()
+    async with AsyncExitStack() as stack:
+        cluster = await _start(stack, half)
+        head = _build(
+            f"Content-Length: {len(LARGE)}\r\nBasilwick-Deadline-Ms: 5000\r\n",
+            method="PUT",
+        )
+        reader, writer = await open_raw(cluster, head + LARGE[:500_000])
+        async with asyncio.timeout(2):
+            while not half.started:
+                await asyncio.sleep(0.01)
+        cluster.set(permitted=False)
+        await asyncio.sleep(PERMISSION_TERM_S + 0.1)
+        writer.write(LARGE[500_000:])
+        status, answer = await _read_answer(reader)
+        assert (status, answer["error"], answer["outcome"]) == (
+            503, "no_permission", "unknown",
+        )  # fmt: skip
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert half.failed == 1
+
+
 async def test_body_that_stops_half_way_is_cancelled_at_the_server():
     # Guards against a server that waits for, or stores, half an upload.
-    class _Half(Sink):
-        failed = 0
-
-        async def __call__(self, request):
-            self.started += 1
-            try:
-                await request.content.read()
-            except BaseException:
-                self.failed += 1
-                raise
-
-    half = _Half()
+    half = Half()
     async with AsyncExitStack() as stack:
         cluster = await _start(stack, half, 2)
         head = _build(f"Content-Length: {len(LARGE)}\r\n", method="PUT")
