--- a/basilwick/runtime/request_path.py
+++ b/basilwick/runtime/request_path.py
@@ -5,14 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from attrs import define
-from loguru import logger
-
 from basilwick.core.errors import ErrorKind, Outcome, Refusal, refuse
 from basilwick.core.hashing import compute_key_hash, rank_candidates
 from basilwick.core.limits import Result, ResultKind, Ticket
 from basilwick.core.retries import RetryPolicy
+from basilwick.logs import log_decision
 from basilwick.runtime.operation_path import OperationPath
+from basilwick.runtime.send_right import SendRight
 from basilwick.runtime.server_limits import HedgeSlot, ServerLimits
 from basilwick.transport.backend import BackendClient
 from basilwick.transport.connection import AnswerStream
@@ -26,7 +25,7 @@
     from basilwick.core.records import ServerRecord, ServiceRecord
     from basilwick.core.routing import Location, Peer, RoutingView
     from basilwick.core.types import MonotonicSeconds
-    from basilwick.runtime.request_metrics import RequestMetrics
+    from basilwick.metrics import Metrics
     from basilwick.transport.exchange import Answer, Request
 
 __all__ = ["RequestPath"]
@@ -43,84 +42,6 @@
 _NEUTRAL = Result(ResultKind.NEUTRAL)
 
 
-@define(eq=False)
-class _Right:
-    """Right to send one request, tested immediately before each send."""
-
-    path: RequestPath
-    request: Request
-    service: ServiceRecord
-    location: Location
-    ends_at: MonotonicSeconds = 0.0
-    moved: bool = False
-
-    def authorize(self) -> bytes | Refusal:
-        """Return the header fields that state the right, or why there is none."""
-        path, request = self.path, self.request
-        now = path.clock()
-        if now >= request.deadline:
-            return refuse(
-                ErrorKind.DEADLINE_EXCEEDED, "the deadline passed in the queue"
-            )
-        location = path.view.locate(self.service, request.key, now)
-        if isinstance(location, Refusal):
-            return location
-        if not self._matches(location, now):
-            self.moved = True
-            return refuse(
-                ErrorKind.NO_OWNER, "the shard moved while the request waited"
-            )
-        end = path.view.get_permission_end(location.block, location.generation, now)
-        if end <= now:
-            return refuse(
-                ErrorKind.NO_PERMISSION,
-                f"generation {location.generation} of block {location.block} "
-                f"is not confirmed",
-            )
-        self.ends_at = end
-        return self._encode(location, now)
-
-    def keep_sending(self) -> bool:
-        """Return whether another piece of a body may be sent.
-
-        A permission that was seen stays good until its end, also after the shard
-        moved: the new owner waits for that time.
-        """
-        path = self.path
-        now = path.clock()
-        location = path.view.locate(self.service, self.request.key, now)
-        if not isinstance(location, Refusal) and self._matches(location, now):
-            end = path.view.get_permission_end(location.block, location.generation, now)
-            self.ends_at = max(self.ends_at, end)
-        return now < self.ends_at
-
-    def _matches(self, location: Location, now: MonotonicSeconds) -> bool:
-        owner = location.owner
-        return (
-            owner is not None
-            and owner.name == self.location.owner.name
-            and location.fence == self.location.fence
-            and location.active_at <= now
-        )
-
-    def _encode(self, location: Location, now: MonotonicSeconds) -> bytes:
-        request = self.request
-        remaining_ms = max(1, int((request.deadline - now) * 1000))
-        fields = (
-            f"Basilwick-Shard: {location.block[0]}/{location.shard}\r\n"
-            f"Basilwick-Fence: {location.fence}\r\n"
-            f"Basilwick-Deadline-Ms: {remaining_ms}\r\n"
-        )
-        expiry = self.path.view.map_to_server_clock(
-            location.owner.name, min(self.ends_at, request.deadline)
-        )
-        if expiry is not None:
-            fields += f"Basilwick-Expires-At: {int(expiry)}\r\n"
-        if request.token is not None:
-            fields += f"Basilwick-Token: {request.token}\r\n"
-        return fields.encode("latin-1")
-
-
 class RequestPath:
     """Routes requests and sends those of the servers it is the gateway of.
 
@@ -134,8 +55,8 @@
         Source of jitter.
     ledger : OperationLedger
         At-most-once ledger of this instance.
-    metrics : RequestMetrics
-        Counters.
+    metrics : Metrics
+        Counters of the instance.
     shared_key : str
         Key of the forward ports.
     """
@@ -146,7 +67,7 @@
         clock: Callable[[], MonotonicSeconds],
         rng: Random,
         ledger: OperationLedger,
-        metrics: RequestMetrics,
+        metrics: Metrics,
         shared_key: str,
     ):
         self.view = view
@@ -155,10 +76,16 @@
         self._metrics = metrics
         self.limits = ServerLimits(clock, metrics)
         self.backends = BackendClient(
-            clock, view.record_result, self.limits.observe_incarnation
+            clock,
+            view.record_result,
+            self.limits.observe_incarnation,
+            lambda service: metrics.silent_connections.labels(service).inc(),
         )
         self.forwards = ForwardClient(clock, shared_key)
         self.operations = OperationPath(view, clock, ledger, self.forwards, self.route)
+        # Looking a child up by its labels costs more than counting.
+        self._to_gateway = metrics.forwards.labels("gateway")
+        self._to_next_gateway = metrics.forwards.labels("next_gateway")
         self._policies: dict[str, RetryPolicy] = {}
         self._held = 0
         self._change: asyncio.Future[None] | None = None
@@ -205,13 +132,18 @@
             return refuse(
                 ErrorKind.UNKNOWN_SERVICE, f"no service {request.service[:100]!r}"
             )
+        started_at = self.clock()
         if request.token is not None and not request.ledger_checked:
             result = await self.operations.handle(request, service)
         else:
             result = await self.route(request, service, request.hops == 0)
         if request.hops == 0:
-            kind = result.kind.value if isinstance(result, Refusal) else "answered"
-            self._metrics.count_request(service.name, kind)
+            self._metrics.observe_request(
+                service.name,
+                request.operation.value,
+                result.kind.value if isinstance(result, Refusal) else "ok",
+                self.clock() - started_at,
+            )
         return result
 
     async def route(
@@ -246,7 +178,7 @@
             )
             if delay_s is None:
                 return result
-            self._metrics.count_send(service.name, "retry")
+            self._metrics.retries.labels(service.name, "sent").inc()
             await asyncio.sleep(delay_s)
 
     async def _route_once(
@@ -261,6 +193,7 @@
                 return gateway
             if gateway.name != self.view.self_peer.name:
                 self._log(location, request, gateway.name, "forwarded")
+                self._to_gateway.inc()
                 result = await self.forwards.send(gateway, request)
                 if not isinstance(result, Refusal):
                     return result
@@ -273,7 +206,7 @@
                 if not _was_unreachable(result):
                     return result
                 # Nothing was sent, so the next gateway needs no retry budget.
-                self._metrics.count_send(service.name, "next_gateway")
+                self._to_next_gateway.inc()
                 continue
             result = await self._serve(request, service, location, policy)
             if result is not None:
@@ -344,7 +277,7 @@
             self._log(location, request, owner.name, ticket.kind.value)
             return ticket
         self.view.record_request(location, self.clock())
-        right = _Right(self, request, service, location)
+        right = SendRight(self.view, self.clock, request, service, location)
         result = _NEUTRAL
         answer = None
         try:
@@ -423,15 +356,15 @@
     def _log(
         self, location: Location, request: Request, target: str, reason: str
     ) -> None:
-        logger.info(
-            "request {} service={} shard={} generation={} fence={} target={} hops={}",
-            reason,
-            request.service,
-            location.shard,
-            location.generation,
-            location.fence,
-            target,
-            request.hops,
+        log_decision(
+            "request routed",
+            result=reason,
+            service=request.service,
+            shard=location.shard,
+            generation=location.generation,
+            fence=location.fence,
+            target=target,
+            hops=request.hops,
         )
 
     async def _refresh(self) -> None:
@@ -440,6 +373,7 @@
             served = [record.name for record in self.view.list_served()]
             for name in self.limits.refresh(served):
                 self.backends.forget(name)
+            self._metrics.ledger_entries.set(len(self.operations.ledger))
 
 
 def _was_unreachable(refusal: Refusal) -> bool:
