--- a/basilwick/core/assigner.py
+++ b/basilwick/core/assigner.py
@@ -128,9 +128,11 @@
         self._rng = rng
         self._planner: MovePlanner | None = None
         self._placed = 0
+        known = {id_: stored.document for id_, stored in view.blocks.items()}
         self._documents = {
-            **{id_: stored.document for id_, stored in view.blocks.items()},
-            **view.writing,
+            id_: document
+            for id_, document in {**known, **view.writing}.items()
+            if id_[0] == view.service.name
         }
         self._active = {
             id_: document
--- a/tests/core/test_assigner.py
+++ b/tests/core/test_assigner.py
@@ -217,3 +217,22 @@
 def test_nothing_is_written_while_the_platform_is_down():
     # Writes that pile up would all be sent at its return.
     assert _decide(_build_view(platform_reachable=False)) == []
+
+
+def test_writes_of_other_services_do_not_count():
+    # Their shards have the same numbers and would be taken for load of this service.
+    view = _build_view()
+    view = _apply(view, _decide(view))
+    others = {
+        ("other", n): evolve(
+            stored.document.activate("dc-a", dict.fromkeys(range(192), "dc-a-0")),
+            service="other",
+        )
+        for (_, n), stored in view.blocks.items()
+    }
+    loads = dict.fromkeys(range(192), 1.0)
+    view = evolve(view, shard_loads=loads)
+    assigner, crowded = Assigner(), Assigner()
+    for now in (0.0, 31.0, 62.0):
+        expected = _decide(view, now, assigner)
+        assert _decide(evolve(view, writing=others), now, crowded) == expected
