Decide confirmations, membership, duties and configuration flow of a node

ControlNode composes membership, confirmations, configuration and assigners and answers events with actions, without input or output.

A generation counts as known to a majority only from one instant inside the intervals in which a majority of witness processes is known to have held it (from the arrival of the list until the last echo). Without that, a witness that lists a generation, restarts from peers that missed it and confirms the older one lets two owners in.

Generation lists carry a version and are sent only to receivers that have not reported it, so a heartbeat without changes has constant size.

--- /dev/null
+++ b/basilwick/core/control.py
@@ -0,0 +1,386 @@
+"""The control decisions of one instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+
+from basilwick.core.assigner import AssignerView
+from basilwick.core.assignment import parse_block_key
+from basilwick.core.configuration import Changes, Configuration, Entry
+from basilwick.core.confirmation import Confirmations
+from basilwick.core.events import (
+    Action,
+    ChangesFetched,
+    Event,
+    LeaveRequested,
+    MessageReceived,
+    PlatformAnswered,
+    SendMessage,
+    Tick,
+    WriteAnswered,
+)
+from basilwick.core.heartbeats import HeartbeatSchedule
+from basilwick.core.membership import Membership
+from basilwick.core.messages import Announcement, Heartbeat, MemberSummary, Summary
+from basilwick.core.queries import RoutingQueries
+from basilwick.core.records import DataCentreStatus
+from basilwick.core.replication import ChangeFlow
+from basilwick.core.roster import Roster
+from basilwick.core.writes import BlockWrites
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
+    from basilwick.core.routing import Peer
+    from basilwick.core.types import (
+        DataCentreName,
+        MonotonicSeconds,
+        Revision,
+        ServiceName,
+    )
+    from basilwick.core.writes import AssignerDecision
+
+__all__ = ["ControlNode", "Identity"]
+
+
+@frozen
+class Identity:
+    """Who the own instance is and where it is reached.
+
+    Attributes
+    ----------
+    peer : Peer
+        Name, incarnation, data centre and forward address.
+    peer_address : str
+        Address for control traffic.
+    seeds : tuple of str
+        Peer addresses to contact before any other instance is known.
+    """
+
+    peer: Peer
+    peer_address: str
+    seeds: tuple[str, ...] = ()
+
+
+class ControlNode(RoutingQueries):
+    """Composes membership, confirmations, configuration, assigners and grants.
+
+    It does no input or output: `handle` takes an event with the local time and returns
+    the actions to carry out, whose results come back as events.
+
+    Parameters
+    ----------
+    identity : Identity
+        The own instance.
+    create_assigner : callable
+        Returns the assigner of a service.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        create_assigner: Callable[[ServiceName], AssignerDecision],
+    ):
+        peer, address = identity.peer, identity.peer_address
+        configuration = Configuration()
+        self.membership = Membership(peer)
+        super().__init__(
+            peer,
+            configuration,
+            Confirmations(address, peer.incarnation),
+            Roster(peer, self.membership, configuration),
+        )
+        self.identity = identity
+        self.successor = ""
+        self._create_assigner = create_assigner
+        self._assigners: dict[ServiceName, AssignerDecision] = {}
+        self._flow = ChangeFlow(configuration)
+        self._heartbeats = HeartbeatSchedule(address, peer.incarnation)
+        self._writes = BlockWrites()
+        self._out_seen_at: dict[DataCentreName, float] = {}
+        self._handlers = {
+            Tick: self._handle_tick,
+            MessageReceived: self._handle_message,
+            PlatformAnswered: self._handle_platform_answer,
+            WriteAnswered: self._handle_write_answer,
+            ChangesFetched: self._handle_fetched,
+            LeaveRequested: self._handle_leave,
+        }
+
+    def handle(self, event: Event, now: MonotonicSeconds, rng: Random) -> list[Action]:
+        """Take an event into account and return the actions that follow.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Local monotonic time in seconds.
+        rng : random.Random
+            Source of all random choices.
+        """
+        version = self.confirmations.own_version
+        actions = self._handlers[type(event)](event, now, rng)
+        if self.confirmations.own_version != version or self._heartbeats.is_due(now):
+            # A new generation is listed at once, because a move waits for a majority.
+            actions.extend(self._send_heartbeats(now))
+        return actions
+
+    def _handle_tick(self, event: Tick, now: float, rng: Random) -> list[Action]:
+        self.membership.forget_silent(now)
+        self._update_ready(now)
+        self.roster.refresh(now)
+        needs_read = not self.ready and (
+            self.configuration.revision == 0
+            or (self.confirmations.is_witness and not self.confirmations.witness_ready)
+        )
+        return [
+            *self._flow.decide_calls(self.roster.is_watcher, needs_read, now),
+            *self._flow.decide_fetch(now),
+            *self._send_summaries(now, rng),
+            *self._assign(now, rng),
+        ]
+
+    def _handle_message(
+        self, event: MessageReceived, now: float, rng: Random
+    ) -> list[Action]:
+        message = event.message
+        if isinstance(message, Heartbeat):
+            return self._handle_heartbeat(message, now)
+        if isinstance(message, Announcement):
+            return self._handle_announcement(message, now)
+        self.membership.record_summary(message, now)
+        if message.data_centre == self.self_peer.data_centre or self.roster.is_watcher:
+            self._flow.record_lead(message.config_revision, message.peer_address, now)
+        return []
+
+    def _handle_heartbeat(self, heartbeat: Heartbeat, now: float) -> list[Action]:
+        if heartbeat.data_centre != self.self_peer.data_centre:
+            return []
+        self._heartbeats.record(heartbeat)
+        self.membership.record_heartbeat(heartbeat, now)
+        self.confirmations.record_heartbeat(heartbeat, now)
+        self._flow.record_lead(heartbeat.config_revision, heartbeat.peer_address, now)
+        return []
+
+    def _handle_announcement(
+        self, announcement: Announcement, now: float
+    ) -> list[Action]:
+        is_own = announcement.data_centre == self.self_peer.data_centre
+        applied = self.configuration.apply(
+            Changes(
+                announcement.revision,
+                announcement.entries,
+                snapshot=False,
+                since=announcement.since,
+            )
+        )
+        self._note_applied(applied, now)
+        if is_own or not applied:
+            return []
+        # News from another data centre is passed on by the watcher that received it.
+        return self._announce(applied, announcement.since, announcement.revision, now)
+
+    def _handle_platform_answer(
+        self, event: PlatformAnswered, now: float, rng: Random
+    ) -> list[Action]:
+        since = self.configuration.revision
+        applied, complete = self._flow.record_answer(event, now, rng)
+        self._note_applied(applied, now)
+        if complete:
+            self.confirmations.record_platform_read(event.started_at)
+        if not applied or not event.is_watch:
+            return []
+        revision = self.configuration.revision if complete else 0
+        return self._announce(applied, since if complete else 0, revision, now)
+
+    def _handle_write_answer(
+        self, event: WriteAnswered, now: float, rng: Random
+    ) -> list[Action]:
+        self._writes.finish(event.key, event.write_id)
+        self._flow.record_write(event.is_known, now, rng)
+        if event.revision is not None:
+            entry = Entry(event.key, event.value, event.revision)
+        elif event.current is not None:
+            entry = event.current
+        else:
+            return []
+        applied = self.configuration.apply_entries([entry])
+        self._note_applied(applied, now)
+        return self._announce(applied, 0, 0, now) if applied else []
+
+    def _handle_fetched(
+        self, event: ChangesFetched, now: float, rng: Random
+    ) -> list[Action]:
+        self._note_applied(self._flow.record_fetch(event.changes), now)
+        return []
+
+    def _handle_leave(
+        self, event: LeaveRequested, now: float, rng: Random
+    ) -> list[Action]:
+        self.roster.self_leaving = True
+        self.successor = self.roster.choose_successor(now)
+        self.roster.refresh(now)
+        return self._send_heartbeats(now)
+
+    def _note_applied(self, entries: Iterable[Entry], now: float) -> None:
+        """Bring what is derived from documents up to date."""
+        own = self.self_peer.data_centre
+        for entry in entries:
+            block = parse_block_key(entry.key)
+            if block is None:
+                continue
+            document = self.configuration.blocks[block].document
+            is_ours = own in (document.home, document.released_from)
+            generation = document.generation if is_ours else None
+            self.confirmations.set_own_generation(block, generation, now)
+        self.confirmations.set_record(self.configuration.data_centres.get(own))
+        for name, record in self.configuration.data_centres.items():
+            if record.status is DataCentreStatus.OUT:
+                self._out_seen_at.setdefault(name, now)
+            else:
+                self._out_seen_at.pop(name, None)
+        self.roster.refresh(now)
+
+    def _update_ready(self, now: float) -> None:
+        if self.ready or self.configuration.revision == 0:
+            return
+        if self.self_peer.data_centre not in self.configuration.data_centres:
+            return
+        homed = self.confirmations.own_generations
+        self.roster.self_ready = not homed or any(
+            self.confirmations.get_permission_end(block, generation, now) > now
+            for block, generation in homed.items()
+        )
+
+    def _assign(self, now: float, rng: Random) -> list[Action]:
+        if not self.ready or not self._flow.may_call(now):
+            return []
+        actions: list[Action] = []
+        for name in self.configuration.services:
+            if not self.roster.is_assigner(name):
+                self._assigners.pop(name, None)
+                continue
+            if name not in self._assigners:
+                self._assigners[name] = self._create_assigner(name)
+            writes = self._assigners[name].decide(self._view(name), now, rng)
+            actions.extend(self._writes.submit(writes))
+        return actions
+
+    def _view(self, service: ServiceName) -> AssignerView:
+        configuration = self.configuration
+        return AssignerView(
+            service=configuration.services[service],
+            data_centre=self.self_peer.data_centre,
+            data_centres=configuration.data_centres,
+            servers={
+                name: server
+                for name, server in configuration.servers.items()
+                if server.service == service
+            },
+            blocks={
+                block: stored
+                for block, stored in configuration.blocks.items()
+                if block[0] == service
+            },
+            active_at=self.confirmations.get_active_at,
+            out_seen_at=self._out_seen_at,
+            autonomy_s=configuration.autonomy_s,
+            platform_reachable=self._flow.platform_reachable,
+        )
+
+    def _announce(
+        self, entries: Iterable[Entry], since: Revision, revision: Revision, now: float
+    ) -> list[Action]:
+        """Push changes to the own data centre and a watcher of each other one."""
+        own = self.self_peer.data_centre
+        message = Announcement(own, tuple(entries), since, revision)
+        return [
+            SendMessage(address, message)
+            for address in (*self._list_contacts(), *self._list_remote_watchers())
+        ]
+
+    def _send_heartbeats(self, now: float) -> list[Action]:
+        confirmations, peer = self.confirmations, self.self_peer
+        contacts = self._list_contacts()
+        heartbeat = Heartbeat(
+            instance=peer.name,
+            incarnation=peer.incarnation,
+            data_centre=peer.data_centre,
+            peer_address=self.identity.peer_address,
+            forward_address=peer.forward_address,
+            sent_at=now,
+            ready=self.ready,
+            leaving=self.roster.self_leaving,
+            witness_ready=confirmations.witness_ready,
+            config_revision=self.configuration.revision,
+            platform_age=confirmations.get_platform_age(now),
+            generations_version=(
+                confirmations.own_version + 1 if confirmations.is_witness else 0
+            ),
+            successor=self.successor,
+        )
+        return list(
+            self._heartbeats.send(
+                heartbeat,
+                confirmations.own_generations,
+                confirmations.list_seen_versions(),
+                contacts,
+                now,
+            )
+        )
+
+    def _send_summaries(self, now: float, rng: Random) -> list[Action]:
+        own, address = self.self_peer.data_centre, self.identity.peer_address
+        targets: list[str] = []
+        if self.roster.is_first_watcher:
+            targets.extend(self._list_remote_watchers())
+        if self.roster.is_watcher or self.confirmations.is_witness:
+            targets.extend(self._list_contacts())
+        if not targets:
+            return []
+        members = (self._summarize_self(), *self.membership.summarize(now))
+        summary = Summary(own, address, self.configuration.revision, members)
+        return list(self._heartbeats.send_summary(summary, targets, now, rng))
+
+    def _summarize_self(self) -> MemberSummary:
+        peer = self.self_peer
+        return MemberSummary(
+            instance=peer.name,
+            incarnation=peer.incarnation,
+            data_centre=peer.data_centre,
+            peer_address=self.identity.peer_address,
+            forward_address=peer.forward_address,
+            ready=self.ready,
+            leaving=self.roster.self_leaving,
+            silent_for=0.0,
+            successor=self.successor,
+        )
+
+    def _list_contacts(self) -> list[str]:
+        """Return the peer addresses of the own data centre to talk to."""
+        known = self.membership.list_known(self.self_peer.data_centre)
+        addresses = {
+            *(member.peer_address for member in known),
+            *self.confirmations.witnesses,
+            *self.identity.seeds,
+        }
+        return sorted(addresses - {self.identity.peer_address})
+
+    def _list_remote_watchers(self) -> list[str]:
+        """Return one peer address in each other data centre."""
+        addresses = []
+        for name, record in sorted(self.configuration.data_centres.items()):
+            if name == self.self_peer.data_centre:
+                continue
+            watchers = self.roster.list_watchers(name)
+            member = self.membership.get_member(watchers[0]) if watchers else None
+            if member is not None:
+                addresses.append(member.peer_address)
+            else:
+                # Before any of its members is known, its witnesses are.
+                addresses.extend(seat.peer_address for seat in record.witnesses)
+        return addresses
--- a/basilwick/core/timing.py
+++ b/basilwick/core/timing.py
@@ -8,9 +8,13 @@
     "HEARTBEAT_INTERVAL_S",
     "MOVE_WAIT_S",
     "PERMISSION_TERM_S",
+    "PLATFORM_RETRY_MAX_S",
+    "PLATFORM_RETRY_MIN_S",
     "SERVER_SILENT_AFTER_S",
     "SUMMARY_INTERVAL_S",
     "SUSPECT_AFTER_S",
+    "TICK_INTERVAL_S",
+    "WATCH_TIMEOUT_S",
 ]
 
 #: Interval between heartbeats to the members of the own data centre.
@@ -30,3 +34,11 @@
 SERVER_SILENT_AFTER_S = 0.4
 #: Interval between summaries exchanged by data centres.
 SUMMARY_INTERVAL_S = 0.5
+#: Longest interval between two ticks of the control decisions.
+TICK_INTERVAL_S = 0.05
+#: Bounds of the random delay before a failed call to the platform is repeated. The
+#: upper one spreads the calls of all instances when the platform returns.
+PLATFORM_RETRY_MIN_S = 0.2
+PLATFORM_RETRY_MAX_S = 2.0
+#: Longest wait of a watch. It also bounds the age of a contact with the platform.
+WATCH_TIMEOUT_S = 5.0
