--- a/basilwick/core/confirmation.py
+++ b/basilwick/core/confirmation.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from basilwick.core.assignment import Ownership
     from basilwick.core.messages import Heartbeat
+    from basilwick.core.ownership import Ownership
     from basilwick.core.records import DataCentreRecord
     from basilwick.core.types import BlockId, Generation, MonotonicSeconds
 
--- a/basilwick/core/control.py
+++ b/basilwick/core/control.py
@@ -6,7 +6,8 @@
 
 from attrs import frozen
 
-from basilwick.core.assigner import AssignerView
+from basilwick.core.assigner import Assigner
+from basilwick.core.assigner_view import AssignerView
 from basilwick.core.assignment import parse_block_key
 from basilwick.core.configuration import Changes, Configuration, Entry
 from basilwick.core.confirmation import Confirmations
@@ -75,14 +76,14 @@
     ----------
     identity : Identity
         The own instance.
-    create_assigner : callable
+    create_assigner : callable, optional
         Returns the assigner of a service.
     """
 
     def __init__(
         self,
         identity: Identity,
-        create_assigner: Callable[[ServiceName], AssignerDecision],
+        create_assigner: Callable[[], AssignerDecision] = Assigner,
     ):
         peer, address = identity.peer, identity.peer_address
         configuration = Configuration()
@@ -265,13 +266,15 @@
                 self._assigners.pop(name, None)
                 continue
             if name not in self._assigners:
-                self._assigners[name] = self._create_assigner(name)
-            writes = self._assigners[name].decide(self._view(name), now, rng)
+                self._assigners[name] = self._create_assigner()
+            view = self._view(name, now)
+            writes = self._assigners[name].decide(view, now, rng)
             actions.extend(self._writes.submit(writes))
         return actions
 
-    def _view(self, service: ServiceName) -> AssignerView:
+    def _view(self, service: ServiceName, now: float) -> AssignerView:
         configuration = self.configuration
+        live = {peer.data_centre for peer in self.roster.list_all()}
         return AssignerView(
             service=configuration.services[service],
             data_centre=self.self_peer.data_centre,
@@ -289,7 +292,11 @@
             active_at=self.confirmations.get_active_at,
             out_seen_at=self._out_seen_at,
             autonomy_s=configuration.autonomy_s,
-            platform_reachable=self._flow.platform_reachable,
+            # A failed call only delays the next decision: an instance that never
+            # called the platform itself finds out by a write.
+            platform_reachable=self._flow.may_call(now),
+            writing=self._writes.get_documents(),
+            live_data_centres=live,
         )
 
     def _announce(
--- a/basilwick/core/roster.py
+++ b/basilwick/core/roster.py
@@ -104,6 +104,10 @@
         """Return a live instance of any data centre."""
         return self._peers.get(name)
 
+    def list_all(self) -> list[Peer]:
+        """Return the live instances of all data centres, the own one included."""
+        return list(self._peers.values())
+
     def list_peers(self, data_centre: DataCentreName) -> list[Peer]:
         """Return the live instances of a data centre, the own one included."""
         return [
--- a/basilwick/core/writes.py
+++ b/basilwick/core/writes.py
@@ -11,8 +11,9 @@
     from collections.abc import Iterable
     from random import Random
 
-    from basilwick.core.assigner import AssignerView, WriteBlock
-    from basilwick.core.types import MonotonicSeconds
+    from basilwick.core.assigner_view import AssignerView, WriteBlock
+    from basilwick.core.assignment import BlockDocument
+    from basilwick.core.types import BlockId, MonotonicSeconds
 
 __all__ = ["AssignerDecision", "BlockWrites"]
 
@@ -33,7 +34,11 @@
     """Keeps at most one write of each block in flight."""
 
     def __init__(self) -> None:
-        self._in_flight: dict[str, str] = {}
+        self._in_flight: dict[str, BlockDocument] = {}
+
+    def get_documents(self) -> dict[BlockId, BlockDocument]:
+        """Return the documents of the writes in flight."""
+        return {document.id: document for document in self._in_flight.values()}
 
     def submit(self, writes: Iterable[WriteBlock]) -> list[CompareAndSwap]:
         """Return the calls for the writes whose block has none in flight."""
@@ -42,7 +47,7 @@
             key = block_key(*write.document.id)
             if key in self._in_flight or len(self._in_flight) >= MAX_WRITES_IN_FLIGHT:
                 continue
-            self._in_flight[key] = write.document.write_id
+            self._in_flight[key] = write.document
             calls.append(
                 CompareAndSwap(
                     key,
@@ -61,5 +66,6 @@
         then. A write that took effect after all makes the next one conflict, and the
         conflict returns the stored document.
         """
-        if self._in_flight.get(key) == write_id:
+        document = self._in_flight.get(key)
+        if document is not None and document.write_id == write_id:
             del self._in_flight[key]
--- a/basilwick/runtime/instance.py
+++ b/basilwick/runtime/instance.py
@@ -1,8 +1,10 @@
-"""One entry instance: caller listener, platform client and backend client."""
+"""One entry instance: control loop, caller listener and backend client."""
 
 from __future__ import annotations
 
 import asyncio
+from random import Random
+from time import monotonic
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
@@ -10,35 +12,26 @@
 from loguru import logger
 from orjson import dumps
 
-from basilwick.core.assignment import (
-    BlockDocument,
-    Ownership,
-    block_key,
-    parse_block_key,
-)
-from basilwick.core.errors import (
-    ErrorKind,
-    PlatformUnavailableError,
-    Refusal,
-    refuse,
-)
-from basilwick.core.hashing import assign_bounded, compute_key_hash
-from basilwick.core.records import ServerRecord, ServiceRecord, decode_record
+from basilwick.core.control import ControlNode, Identity
+from basilwick.core.errors import ErrorKind, Refusal, refuse
+from basilwick.core.routing import Peer
 from basilwick.platform.http import HttpPlatform
+from basilwick.runtime.control import ControlLoop
 from basilwick.transport.backend import BackendClient
 
 if TYPE_CHECKING:
-    from basilwick.platform.service import Changes
+    from basilwick.core.records import ServiceRecord
+    from basilwick.core.routing import Location
     from basilwick.settings import Settings
 
 __all__ = ["Instance"]
 
-_WATCH_TIMEOUT_S = 5.0
-_RETRY_DELAY_S = 0.2
+#: Others act on the announced leave after at most one heartbeat and one tick.
+_LEAVE_NOTICE_S = 0.3
 
 
 class Instance:
-    """Serves callers' requests by the assignment kept in the platform.
+    """Serves callers' requests; composes decisions, transport and platform client.
 
     Parameters
     ----------
@@ -50,86 +43,48 @@
         self._settings = settings
         self._platform = HttpPlatform(settings.platform.address)
         self._backends = BackendClient()
-        self._services: dict[str, ServiceRecord] = {}
-        self._servers: dict[str, ServerRecord] = {}
-        self._blocks: dict[tuple[str, int], BlockDocument] = {}
+        peer = Peer(
+            settings.instance.name,
+            uuid4().hex,
+            settings.instance.data_centre,
+            settings.listen.forward,
+        )
+        identity = Identity(peer, settings.listen.peer, settings.peers.seeds)
+        self._node = ControlNode(identity)
+        self._loop = ControlLoop(
+            self._node, self._platform, settings.security.shared_key, Random()
+        )
         self._runner: web.AppRunner | None = None
-        self._watch_task: asyncio.Task[None] | None = None
+        self._opening: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Learn the assignment, then listen for callers."""
+        """Join the other instances; callers are accepted once the node is ready."""
         await self._platform.start()
         await self._backends.start()
-        self._apply(await self._platform.list_entries(""))
-        await self._create_missing_blocks()
-        changes = await self._platform.list_entries("")
-        self._apply(changes)
-        self._watch_task = asyncio.create_task(self._watch(changes.revision))
-        app = web.Application()
-        app.router.add_route("*", "/v1/{service}/{key}", self._answer)
-        app.router.add_route("*", "/v1/{service}/{key}/{rest:.*}", self._answer)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        host, _, port = self._settings.listen.caller.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        await self._loop.start()
+        self._opening = asyncio.create_task(self._open_when_ready())
 
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Announce the leave, end running requests and close all connections."""
+        if self._opening is not None:
+            self._opening.cancel()
+        await self._loop.leave(_LEAVE_NOTICE_S)
         if self._runner is not None:
             await self._runner.cleanup()
-        if self._watch_task is not None:
-            self._watch_task.cancel()
+        await self._loop.close()
         await self._backends.close()
         await self._platform.close()
 
-    async def _watch(self, revision: int) -> None:
-        while True:
-            try:
-                changes = await self._platform.watch("", revision, _WATCH_TIMEOUT_S)
-            except PlatformUnavailableError as error:
-                logger.warning("watch failed, retrying: {}", error)
-                await asyncio.sleep(_RETRY_DELAY_S)
-                continue
-            self._apply(changes)
-            revision = changes.revision
-
-    def _apply(self, changes: Changes) -> None:
-        for entry in changes.entries:
-            if parse_block_key(entry.key) is not None:
-                document = BlockDocument.decode(entry.value)
-                known = self._blocks.get(document.id)
-                if known is None or known.generation < document.generation:
-                    self._blocks[document.id] = document
-                continue
-            record = decode_record(entry.value)
-            if isinstance(record, ServiceRecord):
-                self._services[record.name] = record
-            elif isinstance(record, ServerRecord):
-                self._servers[record.name] = record
-
-    async def _create_missing_blocks(self) -> None:
-        for service in self._services.values():
-            for block in range(service.blocks):
-                if (service.name, block) not in self._blocks:
-                    await self._create_block(service, block)
-
-    async def _create_block(self, service: ServiceRecord, block: int) -> None:
-        first = block * service.shards_per_block
-        shards = range(first, first + service.shards_per_block)
-        names = [s.name for s in self._servers.values() if s.service == service.name]
-        owners = assign_bounded([str(shard) for shard in shards], names)
-        write_id = uuid4().hex
-        document = BlockDocument(
-            service=service.name,
-            block=block,
-            generation=1,
-            home=self._settings.instance.data_centre,
-            shards={shard: Ownership(owners[str(shard)], 1) for shard in shards},
-            write_id=write_id,
-        )
-        await self._platform.compare_and_swap(
-            block_key(service.name, block), document.encode(), 0, write_id
-        )
+    async def _open_when_ready(self) -> None:
+        await self._loop.ready.wait()
+        app = web.Application()
+        app.router.add_route("*", "/v1/{service}/{key}", self._answer)
+        app.router.add_route("*", "/v1/{service}/{key}/{rest:.*}", self._answer)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, _, port = self._settings.listen.caller.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        logger.info("accepting callers address={}", self._settings.listen.caller)
 
     async def _answer(self, request: web.Request) -> web.Response:
         result = await self._route(request)
@@ -138,40 +93,52 @@
         return result
 
     async def _route(self, request: web.Request) -> web.Response | Refusal:
-        service = self._services.get(request.match_info["service"])
+        service = self._node.get_service(request.match_info["service"])
         if service is None:
             return refuse(
                 ErrorKind.UNKNOWN_SERVICE,
                 f"no service {request.match_info['service']!r}",
             )
-        key_hash = compute_key_hash(service.name, request.match_info["key"])
-        shard = key_hash % service.shard_count
-        document = self._blocks.get((service.name, shard // service.shards_per_block))
-        ownership = document.get_ownership(shard, key_hash) if document else None
-        server = self._servers.get(ownership.owner) if ownership else None
-        if ownership is None or server is None:
-            return refuse(ErrorKind.NO_OWNER, f"shard {shard} has no owner")
+        body = await request.read()
+        location = await self._find_usable(service, request.match_info["key"])
+        if isinstance(location, Refusal):
+            return location
         answer = await self._backends.send(
-            server.address,
+            location.owner.address,
             request.method,
             request.raw_path,
-            await request.read(),
-            ownership.fence,
+            body,
+            location.fence,
             service.default_deadline_ms / 1000,
         )
-        logger.info(
-            "routed service={} shard={} server={} fence={}",
-            service.name,
-            shard,
-            server.name,
-            ownership.fence,
-        )
         if isinstance(answer, Refusal):
             return answer
         return web.Response(
             status=answer.status, body=answer.body, content_type=answer.content_type
         )
 
+    async def _find_usable(
+        self, service: ServiceRecord, key: str
+    ) -> Location | Refusal:
+        """Return where a key may be sent to right now, after a wait if needed."""
+        deadline = monotonic() + service.default_deadline_ms / 1000
+        while True:
+            now = monotonic()
+            location = self._node.locate(service, key, now)
+            if isinstance(location, Refusal):
+                return location
+            end = self._node.get_permission_end(
+                location.block, location.generation, now
+            )
+            if location.owner and location.active_at <= now < end:
+                return location
+            if now >= deadline:
+                return refuse(
+                    ErrorKind.NO_OWNER if end > now else ErrorKind.NO_PERMISSION,
+                    f"shard {location.shard} can't be served here yet",
+                )
+            await asyncio.sleep(0.01)
+
 
 def _respond_refusal(refusal: Refusal) -> web.Response:
     body = {
--- a/basilwick/settings.py
+++ b/basilwick/settings.py
@@ -46,6 +46,17 @@
     shared_key: str = ""
 
 
+@frozen
+class PeerSettings:
+    """Instances to contact before any other is known.
+
+    With seeds, an instance that starts during an outage of the platform learns the
+    configuration from them.
+    """
+
+    seeds: tuple[str, ...] = ()
+
+
 @frozen
 class Settings:
     """All settings of an instance."""
@@ -54,6 +65,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     security: SecuritySettings = SecuritySettings()
+    peers: PeerSettings = PeerSettings()
 
 
 def load_settings(path: Path) -> Settings:
--- a/tests/core/control_network.py
+++ b/tests/core/control_network.py
@@ -9,8 +9,8 @@
 from attrs import define, field
 from orjson import dumps
 
-from basilwick.core.assigner import WriteBlock
-from basilwick.core.assignment import BlockDocument, Ownership, parse_block_key
+from basilwick.core.assigner_view import WriteBlock
+from basilwick.core.assignment import BlockDocument, parse_block_key
 from basilwick.core.configuration import Changes, Entry
 from basilwick.core.control import ControlNode, Identity
 from basilwick.core.events import (
@@ -25,6 +25,7 @@
     WatchPlatform,
     WriteAnswered,
 )
+from basilwick.core.ownership import Ownership
 from basilwick.core.records import record_key
 from basilwick.core.routing import Peer
 from basilwick.core.timing import TICK_INTERVAL_S
@@ -146,7 +147,7 @@
         peer = Peer(name, incarnation, data_centre, f"{name}:forward")
         seeds = tuple(self.find_address(seed) for seed in seeds)
         identity = Identity(peer, self.find_address(name), seeds)
-        node = ControlNode(identity, lambda _: self.assigner())
+        node = ControlNode(identity, self.assigner)
         host = Host(name, node, Random(self.rng.random()), incarnation, rate)
         # Clocks of different machines have unrelated readings.
         host.offset = self.rng.uniform(1, 1e6)
--- a/tests/core/test_confirmation.py
+++ b/tests/core/test_confirmation.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from basilwick.core.assignment import Ownership
 from basilwick.core.confirmation import Confirmations
 from basilwick.core.heartbeats import HeartbeatSchedule
 from basilwick.core.messages import Heartbeat
+from basilwick.core.ownership import Ownership
 from basilwick.core.records import DataCentreRecord, DataCentreStatus, Witness
 from basilwick.core.timing import MOVE_WAIT_S, PERMISSION_TERM_S
 
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -49,7 +49,7 @@
 
 async def test_request_is_served_after_loss_of_an_instance(tmp_path):
     # Guards against a request path that depends on one particular instance.
-    platform, back, proxy, *ports = _take_ports(11)
+    platform, back, proxy, *ports = _take_ports(15)
     records = [
         {"schema": 2, "kind": "service", "name": "clue"},
         {
@@ -60,6 +60,15 @@
             "data_centre": "dc-a",
             "address": f"127.0.0.1:{proxy}",
         },
+        {
+            "schema": 2,
+            "kind": "data_centre",
+            "name": "dc-a",
+            "witnesses": [
+                {"name": f"a-{n}", "peer_address": f"127.0.0.1:{ports[4 * n + 2]}"}
+                for n in range(3)
+            ],
+        },
     ]
     (tmp_path / "records.json").write_bytes(dumps(records))
     async with AsyncExitStack() as stack:
@@ -73,7 +82,7 @@
         )
         await sleep(1.5)
         instances = []
-        for number in range(2):
+        for number in range(3):
             caller, forward, peer, admin = ports[4 * number : 4 * number + 4]
             path = tmp_path / f"{number}.toml"
             path.write_text(
