Wire grants, probes, loss evidence and load into the control node

Cause: the assigner's view held no lost servers, loads or revocations, so a lost server's shards never moved. Before: nothing moved after a loss. After: the node calls servers as gateway or observer, and heartbeats carry what it saw; running requests are counted so that a revocation is reported only when they ended. A contact reported by a peer counts only for documents that the own instance applied, too.

--- a/basilwick/core/confirmation.py
+++ b/basilwick/core/confirmation.py
@@ -16,7 +16,7 @@
     from basilwick.core.messages import Heartbeat
     from basilwick.core.ownership import Ownership
     from basilwick.core.records import DataCentreRecord
-    from basilwick.core.types import BlockId, Generation, MonotonicSeconds
+    from basilwick.core.types import BlockId, Generation, MonotonicSeconds, Revision
 
 __all__ = ["Confirmations"]
 
@@ -149,10 +149,25 @@
         """Return the time since the newest known contact with the platform, in s."""
         return now - self._contact
 
-    def record_heartbeat(self, heartbeat: Heartbeat, now: MonotonicSeconds) -> None:
-        """Note a heartbeat of an instance of the own data centre."""
+    def record_heartbeat(
+        self, heartbeat: Heartbeat, now: MonotonicSeconds, revision: Revision = 0
+    ) -> None:
+        """Note a heartbeat of an instance of the own data centre.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            What the instance sent.
+        now : float
+            Local time in seconds.
+        revision : int
+            Revision up to which the own documents are complete. A contact with the
+            platform that another instance reports counts only for documents that the
+            own instance has applied too: after its data centre was out and taken over,
+            it could otherwise go on with the generations from before.
+        """
         echoes_me = heartbeat.echoed_incarnation == self._incarnation
-        if echoes_me and self._is_in:
+        if echoes_me and self._is_in and heartbeat.config_revision <= revision:
             contact = heartbeat.echoed_at - heartbeat.platform_age
             self._contact = max(self._contact, contact)
         if heartbeat.peer_address not in self._witnesses:
--- a/basilwick/core/control.py
+++ b/basilwick/core/control.py
@@ -15,9 +15,11 @@
     Action,
     ChangesFetched,
     Event,
+    GrantsAnswered,
     LeaveRequested,
     MessageReceived,
     PlatformAnswered,
+    ProbeAnswered,
     SendMessage,
     Tick,
     WriteAnswered,
@@ -29,6 +31,7 @@
 from basilwick.core.records import DataCentreStatus
 from basilwick.core.replication import ChangeFlow
 from basilwick.core.roster import Roster
+from basilwick.core.servers import ServerDuties
 from basilwick.core.writes import BlockWrites
 
 if TYPE_CHECKING:
@@ -87,12 +90,13 @@
     ):
         peer, address = identity.peer, identity.peer_address
         configuration = Configuration()
-        self.membership = Membership(peer)
+        membership = Membership(peer)
         super().__init__(
             peer,
             configuration,
             Confirmations(address, peer.incarnation),
-            Roster(peer, self.membership, configuration),
+            membership,
+            Roster(peer, membership, configuration),
         )
         self.identity = identity
         self.successor = ""
@@ -107,6 +111,8 @@
             MessageReceived: self._handle_message,
             PlatformAnswered: self._handle_platform_answer,
             WriteAnswered: self._handle_write_answer,
+            GrantsAnswered: self._handle_grants,
+            ProbeAnswered: self._handle_probe,
             ChangesFetched: self._handle_fetched,
             LeaveRequested: self._handle_leave,
         }
@@ -123,6 +129,7 @@
         rng : random.Random
             Source of all random choices.
         """
+        self._rng = rng
         version = self.confirmations.own_version
         actions = self._handlers[type(event)](event, now, rng)
         if self.confirmations.own_version != version or self._heartbeats.is_due(now):
@@ -143,6 +150,7 @@
             *self._flow.decide_fetch(now),
             *self._send_summaries(now, rng),
             *self._assign(now, rng),
+            *self.servers.decide_calls(now),
         ]
 
     def _handle_message(
@@ -163,7 +171,10 @@
             return []
         self._heartbeats.record(heartbeat)
         self.membership.record_heartbeat(heartbeat, now)
-        self.confirmations.record_heartbeat(heartbeat, now)
+        self.confirmations.record_heartbeat(
+            heartbeat, now, self.configuration.revision
+        )
+        self.servers.record_reports(heartbeat, now)
         self._flow.record_lead(heartbeat.config_revision, heartbeat.peer_address, now)
         return []
 
@@ -219,6 +230,18 @@
         self._note_applied(self._flow.record_fetch(event.changes), now)
         return []
 
+    def _handle_grants(
+        self, event: GrantsAnswered, now: float, rng: Random
+    ) -> list[Action]:
+        self.servers.handle_grants(event, now)
+        return []
+
+    def _handle_probe(
+        self, event: ProbeAnswered, now: float, rng: Random
+    ) -> list[Action]:
+        self.servers.handle_probe(event, now)
+        return []
+
     def _handle_leave(
         self, event: LeaveRequested, now: float, rng: Random
     ) -> list[Action]:
@@ -275,6 +298,7 @@
     def _view(self, service: ServiceName, now: float) -> AssignerView:
         configuration = self.configuration
         live = {peer.data_centre for peer in self.roster.list_all()}
+        load = self.servers.merge_loads(service, now)
         return AssignerView(
             service=configuration.services[service],
             data_centre=self.self_peer.data_centre,
@@ -297,6 +321,11 @@
             platform_reachable=self._flow.may_call(now),
             writing=self._writes.get_documents(),
             live_data_centres=live,
+            lost=self.servers.find_lost(now),
+            revoked=self.servers.collect_revoked(),
+            stragglers=self.servers.detector.list_stragglers(now),
+            shard_loads=load.shards,
+            hot_keys=load.hot_keys,
         )
 
     def _announce(
@@ -329,6 +358,9 @@
                 confirmations.own_version + 1 if confirmations.is_witness else 0
             ),
             successor=self.successor,
+            observations=self.servers.list_observations(now),
+            revocations=self.servers.list_revocations(),
+            loads=self.servers.list_loads(now),
         )
         return list(
             self._heartbeats.send(
--- a/basilwick/core/queries.py
+++ b/basilwick/core/queries.py
@@ -9,10 +9,14 @@
 from basilwick.core.errors import ErrorKind, Refusal, refuse
 from basilwick.core.hashing import compute_key_hash
 from basilwick.core.routing import Location, Peer
+from basilwick.core.servers import ServerDuties
 
 if TYPE_CHECKING:
+    from random import Random
+
     from basilwick.core.configuration import Configuration
     from basilwick.core.confirmation import Confirmations
+    from basilwick.core.membership import Membership
     from basilwick.core.records import ServerRecord, ServiceRecord
     from basilwick.core.roster import Roster
     from basilwick.core.types import (
@@ -21,6 +25,7 @@
         Generation,
         InstanceName,
         MonotonicSeconds,
+        ServerName,
         ServiceName,
     )
 
@@ -38,6 +43,8 @@
         Records and block documents.
     confirmations : Confirmations
         Rights of the own instance.
+    membership : Membership
+        Other instances.
     roster : Roster
         Duties of the instances.
     """
@@ -47,12 +54,23 @@
         self_peer: Peer,
         configuration: Configuration,
         confirmations: Confirmations,
+        membership: Membership,
         roster: Roster,
     ):
         self.self_peer = self_peer
         self.configuration = configuration
         self.confirmations = confirmations
+        self.membership = membership
         self.roster = roster
+        self.servers = ServerDuties(
+            self_peer.name,
+            self_peer.data_centre,
+            configuration,
+            confirmations,
+            roster,
+        )
+        # Generator of the latest event; draws the sample of keys that are counted.
+        self._rng: Random | None = None
 
     @property
     def ready(self) -> bool:
@@ -125,3 +143,31 @@
         names = self.roster.list_served()
         servers = self.configuration.servers
         return [servers[name] for name in names if name in servers]
+
+    def find_successor(self, name: InstanceName, incarnation: str) -> Peer | None:
+        """Return the live instance that took over the operations of a process."""
+        member = self.membership.get_member(name)
+        if member is None or member.peer.incarnation != incarnation:
+            return None
+        return self.roster.find_peer(member.successor) if member.successor else None
+
+    def map_to_server_clock(
+        self, server: ServerName, at: MonotonicSeconds
+    ) -> float | None:
+        """Return a local time in milliseconds on the server's clock, rounded down."""
+        return self.servers.map_to_server_clock(server, at)
+
+    def record_result(
+        self, server: ServerName, succeeded: bool, now: MonotonicSeconds
+    ) -> None:
+        """Count the result of a request as evidence about a server."""
+        self.servers.record_result(server, succeeded, now)
+
+    def record_request(self, location: Location, now: MonotonicSeconds) -> None:
+        """Count a request that is about to be sent, as load and as running work."""
+        if self._rng is not None:
+            self.servers.record_request(location, now, self._rng)
+
+    def record_finish(self, location: Location) -> None:
+        """Note that a counted request ended."""
+        self.servers.record_finish(location)
--- a/basilwick/core/routing.py
+++ b/basilwick/core/routing.py
@@ -137,4 +137,7 @@
         """Report an answer, or its absence, as evidence about a server."""
 
     def record_request(self, location: Location, now: MonotonicSeconds) -> None:
-        """Count a request as load of its shard and key."""
+        """Count a request as load of its shard and key, and as running work."""
+
+    def record_finish(self, location: Location) -> None:
+        """Note that a counted request ended."""
--- a/basilwick/core/servers.py
+++ b/basilwick/core/servers.py
@@ -351,19 +351,9 @@
             stored = self._configuration.blocks.get(block)
             if stored is None:
                 continue
-            leaving = [
-                shard
-                for shard, ownership in stored.document.shards.items()
-                if ownership.moved_from == server
-            ]
-            is_pending = any(
-                ownership.moved_from == server
-                for ownership in stored.document.iter_ownerships()
-            )
+            leaving = _list_leaving(stored.document, server)
             # Work that the old owner still runs would overlap with the new owner's.
-            if is_pending and not any(
-                self._running.get((server, shard)) for shard in leaving
-            ):
+            if leaving and not any(self._running.get((server, s)) for s in leaving):
                 yield block, generation
 
     def _note_result(
@@ -381,3 +371,18 @@
         elif contact.failing_since is None:
             contact.failing_since = started_at
         self.detector.record_result(server, self._name, succeeded, now, started_at)
+
+
+def _list_leaving(document: BlockDocument, server: ServerName) -> set[ShardIndex]:
+    """Return the shards that left a server, or of which a hot key left it."""
+    shards = {
+        shard
+        for shard, ownership in document.shards.items()
+        if ownership.moved_from == server
+    }
+    hot = {
+        document.get_shard(key_hash)
+        for key_hash, ownership in document.hot.items()
+        if ownership.moved_from == server
+    }
+    return shards | hot
--- a/basilwick/runtime/control.py
+++ b/basilwick/runtime/control.py
@@ -13,9 +13,14 @@
     ChangesFetched,
     CompareAndSwap,
     FetchChanges,
+    GetGrants,
+    GrantsAnswered,
     LeaveRequested,
     MessageReceived,
     PlatformAnswered,
+    ProbeAnswered,
+    ProbeServer,
+    PutGrants,
     ReadPlatform,
     SendMessage,
     Tick,
@@ -36,6 +41,7 @@
     from basilwick.core.events import Action, Event
     from basilwick.core.messages import Message
     from basilwick.platform.service import PlatformService
+    from basilwick.runtime.server_calls import ServerCalls
 
 __all__ = ["ControlLoop"]
 
@@ -52,6 +58,8 @@
         Decisions of the instance.
     platform : PlatformService
         The platform's key-value service.
+    servers : ServerCalls
+        Carries out calls to backend servers that are not requests.
     shared_key : str
         Key of the peer port.
     rng : random.Random
@@ -71,6 +79,7 @@
         self,
         node: ControlNode,
         platform: PlatformService,
+        servers: ServerCalls,
         shared_key: str,
         rng: Random,
         clock: Callable[[], float] = monotonic,
@@ -78,6 +87,7 @@
     ):
         self.node = node
         self._platform = platform
+        self._servers = servers
         self._rng = rng
         self._clock = clock
         self._record = record
@@ -160,6 +170,10 @@
             self._spawn(self._write(action))
         elif isinstance(action, FetchChanges):
             self._spawn(self._fetch(action))
+        elif isinstance(action, GetGrants | PutGrants):
+            self._spawn(self._renew(action, now))
+        elif isinstance(action, ProbeServer):
+            self._spawn(self._probe(action))
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -216,3 +230,12 @@
     async def _fetch(self, action: FetchChanges) -> None:
         changes = await self._links.fetch_changes(action.peer_address, action.since)
         self.handle(ChangesFetched(action.peer_address, changes))
+
+    async def _renew(self, action: GetGrants | PutGrants, started_at: float) -> None:
+        grant = action.grant if isinstance(action, PutGrants) else None
+        reply = await self._servers.exchange_grant(action.server, grant)
+        self.handle(GrantsAnswered(action.server, started_at, grant, reply))
+
+    async def _probe(self, action: ProbeServer) -> None:
+        succeeded = await self._servers.probe(action.server)
+        self.handle(ProbeAnswered(action.server, succeeded))
--- a/basilwick/runtime/request_path.py
+++ b/basilwick/runtime/request_path.py
@@ -293,8 +293,12 @@
             result = Result(ResultKind.NEUTRAL, self.clock() - ticket.started_at)
             raise
         finally:
-            if answer is None or not self._finish_later(owner, ticket, answer, result):
-                self.limits.finish(owner, ticket, result)
+            if isinstance(answer, Answer) and isinstance(answer.body, AnswerStream):
+                # The server works on a streamed answer until its end, so the slot
+                # stays taken.
+                answer.body.on_end = lambda: self._finish(location, ticket, result)
+            else:
+                self._finish(location, ticket, result)
         if not isinstance(answer, Refusal):
             self._log(location, request, owner.name, "sent")
             return answer
@@ -307,18 +311,9 @@
             return await self._hold(request, until)
         return answer
 
-    def _finish_later(
-        self,
-        owner: ServerRecord,
-        ticket: Ticket,
-        answer: Answer | Refusal,
-        result: Result,
-    ) -> bool:
-        # The server works on a streamed answer until its end, so the slot stays taken.
-        if isinstance(answer, Refusal) or not isinstance(answer.body, AnswerStream):
-            return False
-        answer.body.on_end = lambda: self.limits.finish(owner, ticket, result)
-        return True
+    def _finish(self, location: Location, ticket: Ticket, result: Result) -> None:
+        self.limits.finish(location.owner, ticket, result)
+        self.view.record_finish(location)
 
     async def _hold(self, request: Request, until: float = 0.0) -> Refusal | None:
         """Wait for a time or the next look at the control decisions.
--- a/basilwick/testing/ownership.py
+++ b/tests/core/control_assertions.py
@@ -1,4 +1,4 @@
-"""Assertions about ownership and configuration that tests of several nodes share."""
+"""Assertions about ownership and configuration of several control nodes."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 __all__ = [
     "RevisionCheck",
     "assert_acknowledged_writes_kept",
-    "assert_one_right",
+    "assert_one_owner",
     "list_rights",
 ]
 
@@ -49,7 +49,7 @@
                 yield (block, unit), ownership.owner
 
 
-def assert_one_right(nodes: Iterable[tuple[str, ControlNode, MonotonicSeconds]]) -> int:
+def assert_one_owner(nodes: Iterable[tuple[str, ControlNode, MonotonicSeconds]]) -> int:
     """Check that no two servers own the same shard by valid rights.
 
     Parameters
--- a/tests/core/control_network.py
+++ b/tests/core/control_network.py
@@ -7,6 +7,11 @@
 from random import Random
 
 from attrs import define, field
+from control_assertions import (
+    RevisionCheck,
+    assert_acknowledged_writes_kept,
+    assert_one_owner,
+)
 from orjson import dumps
 
 from basilwick.core.assigner_view import WriteBlock
@@ -29,11 +34,6 @@
 from basilwick.core.records import record_key
 from basilwick.core.routing import Peer
 from basilwick.core.timing import TICK_INTERVAL_S
-from basilwick.testing import (
-    RevisionCheck,
-    assert_acknowledged_writes_kept,
-    assert_one_owner,
-)
 
 SHARDS = 4
 TIMEOUT_S = 1.0
--- a/tests/request_path/request_harness.py
+++ b/tests/request_path/request_harness.py
@@ -81,6 +81,9 @@
     def record_request(self, location, now):
         pass
 
+    def record_finish(self, location):
+        pass
+
 
 @define(eq=False)
 class Cluster:
