--- a/basilwick/core/configuration.py
+++ b/basilwick/core/configuration.py
@@ -147,6 +147,10 @@
         """Return the newest known entry of a key."""
         return self._entries.get(key)
 
+    def list_entries(self) -> list[Entry]:
+        """Return the newest known entries of all keys, ordered by key."""
+        return [self._entries[key] for key in sorted(self._entries)]
+
     def get_record(self, key: str) -> Record | None:
         """Return the record in force under a platform key."""
         return self._records.get(key)
@@ -232,6 +236,13 @@
 
     def _apply_block(self, entry: Entry) -> bool:
         known = self._entries.get(entry.key)
+        if (
+            known is not None
+            and known.revision >= entry.revision
+            and known.value == entry.value
+        ):
+            # Saves decoding when a peer sends a whole snapshot.
+            return False
         try:
             document = BlockDocument.decode(entry.value)
             if document.id != parse_block_key(entry.key):
--- a/basilwick/core/control.py
+++ b/basilwick/core/control.py
@@ -87,12 +87,13 @@
     ):
         peer, address = identity.peer, identity.peer_address
         configuration = Configuration()
-        self.membership = Membership(peer)
+        membership = Membership(peer)
         super().__init__(
             peer,
             configuration,
             Confirmations(address, peer.incarnation),
-            Roster(peer, self.membership, configuration),
+            membership,
+            Roster(peer, membership, configuration),
         )
         self.identity = identity
         self.successor = ""
--- a/basilwick/core/errors.py
+++ b/basilwick/core/errors.py
@@ -18,6 +18,7 @@
     "Outcome",
     "PlatformUnavailableError",
     "Refusal",
+    "TooLargeError",
     "refuse",
 ]
 
@@ -167,11 +168,14 @@
     ----------
     revision : int
         Revision now stored.
+    diff : list of str
+        What the refused change would change in the stored record.
     """
 
-    def __init__(self, message: str, revision: int):
+    def __init__(self, message: str, revision: int, diff: Sequence[str] = ()):
         super().__init__(message)
         self.revision = revision
+        self.diff = list(diff)
 
 
 class InvalidRecordError(BasilwickError):
@@ -186,3 +190,7 @@
     def __init__(self, message: str, faults: Sequence[str] = ()):
         super().__init__(message)
         self.faults = list(faults) or [message]
+
+
+class TooLargeError(BasilwickError):
+    """A value is larger than the platform takes."""
--- a/basilwick/core/queries.py
+++ b/basilwick/core/queries.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from basilwick.core.configuration import Configuration
     from basilwick.core.confirmation import Confirmations
+    from basilwick.core.membership import Membership
     from basilwick.core.records import ServerRecord, ServiceRecord
     from basilwick.core.roster import Roster
     from basilwick.core.types import (
@@ -21,6 +22,7 @@
         Generation,
         InstanceName,
         MonotonicSeconds,
+        ServerName,
         ServiceName,
     )
 
@@ -38,6 +40,8 @@
         Records and block documents.
     confirmations : Confirmations
         Rights of the own instance.
+    membership : Membership
+        Other instances.
     roster : Roster
         Duties of the instances.
     """
@@ -47,11 +51,13 @@
         self_peer: Peer,
         configuration: Configuration,
         confirmations: Confirmations,
+        membership: Membership,
         roster: Roster,
     ):
         self.self_peer = self_peer
         self.configuration = configuration
         self.confirmations = confirmations
+        self.membership = membership
         self.roster = roster
 
     @property
@@ -125,3 +131,24 @@
         names = self.roster.list_served()
         servers = self.configuration.servers
         return [servers[name] for name in names if name in servers]
+
+    def find_successor(self, name: InstanceName, incarnation: str) -> Peer | None:
+        """Return the live instance that took over the operations of a process."""
+        member = self.membership.get_member(name)
+        if member is None or member.peer.incarnation != incarnation:
+            return None
+        return self.roster.find_peer(member.successor) if member.successor else None
+
+    def map_to_server_clock(
+        self, server: ServerName, at: MonotonicSeconds
+    ) -> float | None:
+        """Return None: no server's clock is known without grants."""
+        return None
+
+    def record_result(
+        self, server: ServerName, succeeded: bool, now: MonotonicSeconds
+    ) -> None:
+        """Ignore evidence about a server; losses are not detected yet."""
+
+    def record_request(self, location: Location, now: MonotonicSeconds) -> None:
+        """Ignore the load of a request; it is not reported to assigners yet."""
