--- a/basilwick/core/control.py
+++ b/basilwick/core/control.py
@@ -31,7 +31,6 @@
 from basilwick.core.records import DataCentreStatus
 from basilwick.core.replication import ChangeFlow
 from basilwick.core.roster import Roster
-from basilwick.core.servers import ServerDuties
 from basilwick.core.writes import BlockWrites
 
 if TYPE_CHECKING:
@@ -171,9 +170,7 @@
             return []
         self._heartbeats.record(heartbeat)
         self.membership.record_heartbeat(heartbeat, now)
-        self.confirmations.record_heartbeat(
-            heartbeat, now, self.configuration.revision
-        )
+        self.confirmations.record_heartbeat(heartbeat, now, self.configuration.revision)
         self.servers.record_reports(heartbeat, now)
         self._flow.record_lead(heartbeat.config_revision, heartbeat.peer_address, now)
         return []
--- a/basilwick/core/messages.py
+++ b/basilwick/core/messages.py
@@ -23,6 +23,7 @@
     )
 
 __all__ = [
+    "SCHEMA_MAX",
     "Announcement",
     "Heartbeat",
     "MemberSummary",
@@ -34,6 +35,10 @@
 ]
 
 
+#: Highest record schema that this program reads.
+SCHEMA_MAX = 2
+
+
 @frozen
 class ServerObservation:
     """What one instance saw of a backend server.
@@ -132,7 +137,7 @@
     leaving: bool = False
     witness_ready: bool = False
     config_revision: Revision = 0
-    schema_max: int = 2
+    schema_max: int = SCHEMA_MAX
     platform_age: float = float("inf")
     generations_version: int = 0
     generations: Mapping[BlockId, Generation] | None = None
@@ -177,7 +182,7 @@
     leaving: bool
     silent_for: float
     successor: InstanceName = ""
-    schema_max: int = 2
+    schema_max: int = SCHEMA_MAX
 
 
 @frozen
--- a/basilwick/core/servers.py
+++ b/basilwick/core/servers.py
@@ -145,7 +145,7 @@
         if reply is None:
             return
         if reply.incarnation != contact.incarnation:
-            # A restarted server forgot the fences, so earlier acknowledgements are void.
+            # A restarted server forgot its fences: earlier acknowledgements are void.
             self._forget_acknowledged(event.server, contact)
             contact.incarnation = reply.incarnation
         contact.clock_ms, contact.heard_at = reply.clock_ms, now
@@ -217,9 +217,7 @@
             report = LoadReport(load.shards, load.hot_keys)
             self._loads[heartbeat.instance, load.server] = _Load(report, now)
 
-    def list_observations(
-        self, now: MonotonicSeconds
-    ) -> tuple[ServerObservation, ...]:
+    def list_observations(self, now: MonotonicSeconds) -> tuple[ServerObservation, ...]:
         """Return failing and newly recovered servers for the next heartbeat."""
         seen = []
         for name, contact in self._contacts.items():
@@ -322,7 +320,8 @@
         return [
             stored.document
             for stored in self._configuration.blocks.values()
-            if self._data_centre in (stored.document.home, stored.document.released_from)
+            if self._data_centre
+            in (stored.document.home, stored.document.released_from)
         ]
 
     def _acknowledge(
--- a/basilwick/runtime/control.py
+++ b/basilwick/runtime/control.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from basilwick.core.configuration import DOCUMENT_PREFIXES
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.events import (
     ChangesFetched,
@@ -188,7 +189,7 @@
     async def _read(self, started_at: float) -> None:
         changes = None
         try:
-            changes = await self._platform.list_entries("")
+            changes = await self._platform.list_entries(DOCUMENT_PREFIXES)
         except PlatformUnavailableError as error:
             logger.warning("platform read failed: {}", error)
         self.handle(PlatformAnswered(started_at, changes, is_watch=False))
@@ -196,7 +197,9 @@
     async def _watch(self, action: WatchPlatform, started_at: float) -> None:
         changes = None
         try:
-            changes = await self._platform.watch("", action.since, action.timeout_s)
+            changes = await self._platform.watch(
+                DOCUMENT_PREFIXES, action.since, action.timeout_s
+            )
         except PlatformUnavailableError as error:
             logger.warning("platform watch failed: {}", error)
         self.handle(PlatformAnswered(started_at, changes, is_watch=True))
--- a/basilwick/runtime/request_path.py
+++ b/basilwick/runtime/request_path.py
@@ -15,6 +15,7 @@
 from basilwick.runtime.server_limits import HedgeSlot, ServerLimits
 from basilwick.transport.backend import BackendClient
 from basilwick.transport.connection import AnswerStream
+from basilwick.transport.exchange import Answer
 from basilwick.transport.forward import ForwardClient
 
 if TYPE_CHECKING:
@@ -22,11 +23,11 @@
     from random import Random
 
     from basilwick.core.operations import OperationLedger
-    from basilwick.core.records import ServerRecord, ServiceRecord
+    from basilwick.core.records import ServiceRecord
     from basilwick.core.routing import Location, Peer, RoutingView
     from basilwick.core.types import MonotonicSeconds
     from basilwick.metrics import Metrics
-    from basilwick.transport.exchange import Answer, Request
+    from basilwick.transport.exchange import Request
 
 __all__ = ["RequestPath"]
 
--- a/basilwick/runtime/server_calls.py
+++ b/basilwick/runtime/server_calls.py
@@ -49,9 +49,7 @@
             )
         if isinstance(reply, Refusal):
             return None
-        return GrantReply(
-            reply.clock_ms, reply.incarnation, reply.checks, reply.digest
-        )
+        return GrantReply(reply.clock_ms, reply.incarnation, reply.checks, reply.digest)
 
     async def probe(self, server: str) -> bool:
         """Return whether a server answers a request for its load report.
@@ -62,5 +60,4 @@
         record = self._configuration.servers.get(server)
         if record is None:
             return True
-        report = await self._backends.get_load(record, _CALL_TIMEOUT_S)
-        return not isinstance(report, Refusal)
+        return await self._backends.probe(record, _CALL_TIMEOUT_S)
--- a/basilwick/transport/backend.py
+++ b/basilwick/transport/backend.py
@@ -203,6 +203,24 @@
         """Ask a server for its load report."""
         return await self._call(record, "GET", "/load", b"", timeout_s)
 
+    async def probe(
+        self, record: ServerRecord, timeout_s: float = SERVER_SILENT_AFTER_S
+    ) -> bool:
+        """Return whether a server answers at all, with whatever status."""
+        server = self._get_server(record)
+        deadline = self._clock() + timeout_s
+        request = Request(
+            "GET", "/load", "", "", Operation.AT_MOST_ONCE, deadline, body=b""
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await server.control.attempt(
+                    request, SendPlan(lambda: b"", lambda: True)
+                )
+        except TimeoutError:
+            return False
+        return isinstance(reply, Reply)
+
     def _get_server(self, record: ServerRecord) -> _Server:
         server = self._servers.get(record.name)
         if server is not None and server.channel.address != record.address:
