Report a site that does not start as an error of the demonstration

The demonstration needs grants, which the control node sends. Until it replaces the present instance, the command ends with 'was not served in time; last result 503'.

--- a/basilwick/cli/demo.py
+++ b/basilwick/cli/demo.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, field
-from click import command, echo, option
+from click import ClickException, command, echo, option
 
 from basilwick.cli.demo_site import SERVICES, DemoSite
 from basilwick.fakes.callers import Callers, Result
@@ -41,7 +41,11 @@
 def demo(verbose: bool) -> None:
     """Run two data centres on loopback, with faults, and report what callers saw."""
     configure_logs(form="text", level="INFO" if verbose else "CRITICAL")
-    raise SystemExit(asyncio.run(_run_demo()))
+    try:
+        code = asyncio.run(_run_demo())
+    except TimeoutError as error:
+        raise ClickException(str(error)) from error
+    raise SystemExit(code)
 
 
 async def _run_demo() -> int:
