--- a/basilwick/logs.py
+++ b/basilwick/logs.py
@@ -62,6 +62,7 @@
         self._lock = Lock()
         self._wake = Event()
         self._closed = False
+        self.takes_decisions = True
         self._thread = Thread(target=self._run, name="log-writer", daemon=True)
         self._thread.start()
 
@@ -142,6 +143,7 @@
     global _writer
     close_logs()
     _writer = LineWriter(stream or sys.stderr.buffer, form, secrets)
+    _writer.takes_decisions = logger.level(level).no <= logger.level("INFO").no
     logger.remove()
     # The sink formats by itself. Tracebacks with variable values could show secrets.
     logger.add(
@@ -174,6 +176,8 @@
     if _writer is None:
         logger.info(message, **fields)
         return
+    if not _writer.takes_decisions:
+        return
     fields["time"] = time()
     fields["level"] = "INFO"
     fields["message"] = message
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -38,3 +38,15 @@
         assert "service" in text and "ValueError" in text
         assert "tok-en" not in text
         assert 'key-"1"' not in text and 'key-\\"1\\"' not in text
+
+
+def test_decisions_obey_the_level():
+    # Guards against lines about every request when only warnings are asked for.
+    stream = BytesIO()
+    configure_logs(stream, level="WARNING")
+    log_decision("routed")
+    logger.warning("slow")
+    close_logs()
+    assert [loads(line)["message"] for line in stream.getvalue().splitlines()] == [
+        "slow"
+    ]
