--- a/basilwick/core/queries.py
+++ b/basilwick/core/queries.py
@@ -9,8 +9,11 @@
 from basilwick.core.errors import ErrorKind, Refusal, refuse
 from basilwick.core.hashing import compute_key_hash
 from basilwick.core.routing import Location, Peer
+from basilwick.core.servers import ServerDuties
 
 if TYPE_CHECKING:
+    from random import Random
+
     from basilwick.core.configuration import Configuration
     from basilwick.core.confirmation import Confirmations
     from basilwick.core.membership import Membership
@@ -59,6 +62,15 @@
         self.confirmations = confirmations
         self.membership = membership
         self.roster = roster
+        self.servers = ServerDuties(
+            self_peer.name,
+            self_peer.data_centre,
+            configuration,
+            confirmations,
+            roster,
+        )
+        # Generator of the latest event; draws the sample of keys that are counted.
+        self._rng: Random | None = None
 
     @property
     def ready(self) -> bool:
@@ -142,13 +154,20 @@
     def map_to_server_clock(
         self, server: ServerName, at: MonotonicSeconds
     ) -> float | None:
-        """Return None: no server's clock is known without grants."""
-        return None
+        """Return a local time in milliseconds on the server's clock, rounded down."""
+        return self.servers.map_to_server_clock(server, at)
 
     def record_result(
         self, server: ServerName, succeeded: bool, now: MonotonicSeconds
     ) -> None:
-        """Ignore evidence about a server; losses are not detected yet."""
+        """Count the result of a request as evidence about a server."""
+        self.servers.record_result(server, succeeded, now)
 
     def record_request(self, location: Location, now: MonotonicSeconds) -> None:
-        """Ignore the load of a request; it is not reported to assigners yet."""
+        """Count a request that is about to be sent, as load and as running work."""
+        if self._rng is not None:
+            self.servers.record_request(location, now, self._rng)
+
+    def record_finish(self, location: Location) -> None:
+        """Note that a counted request ended."""
+        self.servers.record_finish(location)
