Echo the attempt identity in grant answers; accept any answer to a probe

Cause: the server stand-in did not echo the attempt on /grants and /load, so every grant and probe counted as an answer to another attempt and all servers were declared lost at start.

--- a/basilwick/fakes/backend.py
+++ b/basilwick/fakes/backend.py
@@ -150,6 +150,7 @@
         self._free = asyncio.Semaphore(self.slots)
         self.record.open()
         app = web.Application(client_max_size=1 << 30)
+        app.on_response_prepare.append(_echo_attempt)
         app.router.add_get("/grants", self._report_grants)
         app.router.add_put("/grants", self._take_grants)
         app.router.add_get("/load", self._report_load)
@@ -356,3 +357,9 @@
         content_type="application/json",
         headers=headers,
     )
+
+
+async def _echo_attempt(request: web.Request, response: web.StreamResponse) -> None:
+    attempt = request.headers.get("Basilwick-Attempt")
+    if attempt is not None:
+        response.headers["Basilwick-Attempt"] = attempt
--- a/basilwick/transport/backend.py
+++ b/basilwick/transport/backend.py
@@ -214,8 +214,10 @@
         )
         try:
             async with asyncio.timeout(timeout_s):
+                # Any answer is a sign of life, also from a server that has no load
+                # report and so does not echo.
                 reply = await server.control.attempt(
-                    request, SendPlan(lambda: b"", lambda: True)
+                    request, SendPlan(lambda: b"", lambda: True, checks_echo=False)
                 )
         except TimeoutError:
             return False
--- a/basilwick/transport/channel.py
+++ b/basilwick/transport/channel.py
@@ -76,6 +76,8 @@
         Seconds.
     on_unanswered : callable or None
         Called once when no byte has arrived for 0.4 s, as evidence of a loss.
+    checks_echo : bool
+        Whether the answer must echo the identity of the attempt.
     """
 
     authorize: Callable[[], bytes | Refusal]
@@ -84,6 +86,7 @@
     hedge_delay_s: float = 0.0
     on_unanswered: Callable[[], None] | None = None
     connection: HttpConnection | None = None
+    checks_echo: bool = True
 
 
 @define(eq=False)
@@ -325,7 +328,8 @@
     ) -> Reply | Refusal:
         latency_s = self.clock() - watch.sent_at
         fields, own_fields, length = _split_fields(message)
-        if own_fields.get(b"basilwick-attempt") != identity:
+        echoed = own_fields.get(b"basilwick-attempt") == identity
+        if watch.plan.checks_echo and not echoed:
             connection.force_close()
             return refuse(
                 ErrorKind.CONNECTION_LOST,
