--- a/basilwick/core/control.py
+++ b/basilwick/core/control.py
@@ -7,8 +7,8 @@
 from attrs import frozen
 
 from basilwick.core.assigner import Assigner
-from basilwick.core.assigner_view import AssignerView
 from basilwick.core.assignment import parse_block_key
+from basilwick.core.assignments import Assignments
 from basilwick.core.configuration import Changes, Configuration, Entry
 from basilwick.core.confirmation import Confirmations
 from basilwick.core.events import (
@@ -28,10 +28,8 @@
 from basilwick.core.membership import Membership
 from basilwick.core.messages import Announcement, Heartbeat, MemberSummary, Summary
 from basilwick.core.queries import RoutingQueries
-from basilwick.core.records import DataCentreStatus
 from basilwick.core.replication import ChangeFlow
 from basilwick.core.roster import Roster
-from basilwick.core.writes import BlockWrites
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,10 +37,8 @@
 
     from basilwick.core.routing import Peer
     from basilwick.core.types import (
-        DataCentreName,
         MonotonicSeconds,
         Revision,
-        ServiceName,
     )
     from basilwick.core.writes import AssignerDecision
 
@@ -99,12 +95,16 @@
         )
         self.identity = identity
         self.successor = ""
-        self._create_assigner = create_assigner
-        self._assigners: dict[ServiceName, AssignerDecision] = {}
+        self._assignments = Assignments(
+            peer.data_centre,
+            configuration,
+            self.confirmations,
+            self.roster,
+            self.servers,
+            create_assigner,
+        )
         self._flow = ChangeFlow(configuration)
         self._heartbeats = HeartbeatSchedule(address, peer.incarnation)
-        self._writes = BlockWrites()
-        self._out_seen_at: dict[DataCentreName, float] = {}
         self._handlers = {
             Tick: self._handle_tick,
             MessageReceived: self._handle_message,
@@ -148,7 +148,7 @@
             *self._flow.decide_calls(self.roster.is_watcher, needs_read, now),
             *self._flow.decide_fetch(now),
             *self._send_summaries(now, rng),
-            *self._assign(now, rng),
+            *self._decide_writes(now, rng),
             *self.servers.decide_calls(now),
         ]
 
@@ -209,7 +209,7 @@
     def _handle_write_answer(
         self, event: WriteAnswered, now: float, rng: Random
     ) -> list[Action]:
-        self._writes.finish(event.key, event.write_id)
+        self._assignments.finish_write(event.key, event.write_id)
         self._flow.record_write(event.is_known, now, rng)
         if event.revision is not None:
             entry = Entry(event.key, event.value, event.revision)
@@ -259,11 +259,7 @@
             generation = document.generation if is_ours else None
             self.confirmations.set_own_generation(block, generation, now)
         self.confirmations.set_record(self.configuration.data_centres.get(own))
-        for name, record in self.configuration.data_centres.items():
-            if record.status is DataCentreStatus.OUT:
-                self._out_seen_at.setdefault(name, now)
-            else:
-                self._out_seen_at.pop(name, None)
+        self._assignments.note_statuses(now)
         self.roster.refresh(now)
 
     def _update_ready(self, now: float) -> None:
@@ -277,53 +273,10 @@
             for block, generation in homed.items()
         )
 
-    def _assign(self, now: float, rng: Random) -> list[Action]:
+    def _decide_writes(self, now: float, rng: Random) -> list[Action]:
         if not self.ready or not self._flow.may_call(now):
             return []
-        actions: list[Action] = []
-        for name in self.configuration.services:
-            if not self.roster.is_assigner(name):
-                self._assigners.pop(name, None)
-                continue
-            if name not in self._assigners:
-                self._assigners[name] = self._create_assigner()
-            view = self._view(name, now)
-            writes = self._assigners[name].decide(view, now, rng)
-            actions.extend(self._writes.submit(writes))
-        return actions
-
-    def _view(self, service: ServiceName, now: float) -> AssignerView:
-        configuration = self.configuration
-        live = {peer.data_centre for peer in self.roster.list_all()}
-        load = self.servers.merge_loads(service, now)
-        return AssignerView(
-            service=configuration.services[service],
-            data_centre=self.self_peer.data_centre,
-            data_centres=configuration.data_centres,
-            servers={
-                name: server
-                for name, server in configuration.servers.items()
-                if server.service == service
-            },
-            blocks={
-                block: stored
-                for block, stored in configuration.blocks.items()
-                if block[0] == service
-            },
-            active_at=self.confirmations.get_active_at,
-            out_seen_at=self._out_seen_at,
-            autonomy_s=configuration.autonomy_s,
-            # A failed call only delays the next decision: an instance that never
-            # called the platform itself finds out by a write.
-            platform_reachable=self._flow.may_call(now),
-            writing=self._writes.get_documents(),
-            live_data_centres=live,
-            lost=self.servers.find_lost(now),
-            revoked=self.servers.collect_revoked(),
-            stragglers=self.servers.detector.list_stragglers(now),
-            shard_loads=load.shards,
-            hot_keys=load.hot_keys,
-        )
+        return self._assignments.decide(now, rng)
 
     def _announce(
         self, entries: Iterable[Entry], since: Revision, revision: Revision, now: float
