--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(VENV)/bin/basilwick demo
 
 test: setup
-	$(VENV)/bin/pytest
+	$(VENV)/bin/python -m pytest
 
 format: setup
 	$(VENV)/bin/ruff format .
@@ -44,4 +44,4 @@
 		--output-file dist/basilwick --constraint requirements.lock .
 
 check-archive: archive
-	$(VENV)/bin/pytest checks/test_archive.py
+	$(VENV)/bin/python -m pytest checks/test_archive.py
