Keep an answered attempt counted as possibly run

An attempt stopped counting as unresolved when its answer arrived. When the deadline passed after that and before the answer was delivered, the listener refused the request as deadline_exceeded, not run, although the operation had run. Only operations with tokens are exposed: they run in a task of their own, so the caller's deadline can cancel the wait while the finished result is on its way.

The count is now lowered only by the server's or the other instance's own word that the request did not run.

--- a/basilwick/transport/backend.py
+++ b/basilwick/transport/backend.py
@@ -343,6 +343,7 @@
         kind = ResultKind.SUCCESS
         latency_s = None if request.operation is Operation.UPLOAD else reply.latency_s
         return Attempt(answer, Result(kind, latency_s))
+    request.unresolved -= 1
     if not isinstance(answer.body, bytes):
         answer.body.close()
     retry_after_s = None
--- a/basilwick/transport/channel.py
+++ b/basilwick/transport/channel.py
@@ -189,8 +189,8 @@
     async def attempt(self, request: Request, plan: SendPlan) -> Reply | Refusal:
         """Send a request once and return the answer.
 
-        ``request.unresolved`` is raised while a byte may have reached the target
-        without an answer; it stays raised when the attempt is lost or cancelled.
+        ``request.unresolved`` is raised once a byte may have reached the target. It
+        is lowered by the reader of an answer that says that the request did not run.
         """
         self.used_at = self.clock()
         try:
@@ -341,7 +341,6 @@
             answer.body = await payload.read()
         else:
             answer.body = AnswerStream(self.pool, connection, payload, length)
-        watch.request.unresolved -= 1
         self.answered_at = self.clock()
         self.latencies.record(latency_s)
         return Reply(answer, own_fields, latency_s)
--- a/basilwick/transport/exchange.py
+++ b/basilwick/transport/exchange.py
@@ -106,8 +106,9 @@
     unreachable : tuple of str
         Instances that a previous hop could not reach.
     unresolved : int
-        Attempts of which a byte may have reached a server and of which neither an
-        answer nor the server's "not run" has arrived.
+        Attempts of which a byte may have reached a server and that the server did not
+        answer with "not run". An answered attempt stays counted, because the deadline
+        can pass between the arrival of the answer and its delivery to the caller.
     body_started : bool
         Whether a streamed body was read from, so that it cannot be sent again.
     """
--- a/basilwick/transport/forward.py
+++ b/basilwick/transport/forward.py
@@ -85,8 +85,8 @@
             body.close()
             body = b""
         refusal = decode_refusal(body)
-        if refusal.outcome is Outcome.UNKNOWN:
-            request.unresolved += 1
+        if refusal.outcome is Outcome.NOT_RUN:
+            request.unresolved -= 1
         return refusal
 
     async def hand_over(self, peer: Peer, body: bytes, timeout_s: float) -> bool:
--- a/tests/request_path/test_path.py
+++ b/tests/request_path/test_path.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack
-from time import monotonic
+from time import monotonic, sleep
 
 import pytest
 from attrs import evolve
@@ -295,6 +295,31 @@
         assert _outcome(result) == (409, "token_superseded", "unknown")
 
 
+@pytest.mark.parametrize("issuer", [0, 1])
+async def test_operation_answered_at_its_deadline_is_not_refused_as_not_run(issuer):
+    # Guards against "not run" for an operation that ran: the deadline passes after its
+    # answer arrived and before the answer reaches the caller, as on a busy event loop.
+    script = Script()
+    async with AsyncExitStack() as stack:
+        cluster, _ = await _start(stack, script, count=2)
+        ledger = cluster.servers[issuer].path.operations.ledger
+        finish = ledger.finish
+
+        def _finish_late(*args):
+            sleep(0.5)
+            finish(*args)
+
+        ledger.finish = _finish_late
+        headers = {"Basilwick-Token": await cluster.get_token(instance=issuer)}
+        refused = await cluster.send(
+            "POST", instance=issuer, headers=headers | DEADLINE
+        )
+        assert _outcome(refused) == (504, "deadline_exceeded", "unknown")
+        repeated = await cluster.send("POST", instance=issuer, headers=headers)
+        assert repeated[0] == 200
+        assert len(script.requests) == 1
+
+
 async def test_operation_goes_on_when_its_caller_leaves():
     # Guards against cutting off an operation half way; the repeat gets its answer.
     async def _slow(request, number):
