Judge a control connection only by messages that await confirmation

Cause: links between data centres carry a summary each 0.5 s, and any pause above 0.6 s since the last confirmation counted as silence. They were replaced all the time with a growing delay, so after the loss of a watcher another data centre was refused as cut_off. Announcements are acknowledged as well. Conclusion: an idle link is no longer silent; a silenced one is still replaced.

--- a/basilwick/transport/peers.py
+++ b/basilwick/transport/peers.py
@@ -15,7 +15,7 @@
 from grpclib.server import Server
 from loguru import logger
 
-from basilwick.core.messages import Heartbeat, Summary
+from basilwick.core.messages import Announcement, Heartbeat, Summary
 from basilwick.transport import messages_pb2 as pb
 from basilwick.transport.codec import (
     MessageDecoder,
@@ -90,7 +90,7 @@
             if message is None:
                 continue
             self._receive(message)
-            if isinstance(message, Summary):
+            if isinstance(message, Summary | Announcement):
                 await stream.send_message(acknowledgement)
 
     async def Fetch(self, stream: Stream) -> None:
@@ -157,7 +157,7 @@
         self._metadata = metadata
         self._waiting: deque[Message] = deque(maxlen=_MAX_WAITING)
         self._wake = asyncio.Event()
-        self._confirmed_at = 0.0
+        self._unconfirmed_since: float | None = None
         self._failures = 0
         self.used_at = monotonic()
         self.task = asyncio.create_task(self._run())
@@ -172,7 +172,8 @@
         self._wake.set()
 
     def confirm(self, at: float) -> None:
-        self._confirmed_at = max(self._confirmed_at, at)
+        if self._unconfirmed_since is not None and at >= self._unconfirmed_since:
+            self._unconfirmed_since = None
         self._failures = 0
 
     async def _run(self) -> None:
@@ -203,7 +204,7 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 await stream.send_request()
                 await stream.recv_initial_metadata()
-            self._confirmed_at = monotonic()
+            self._unconfirmed_since = None
             reader = asyncio.create_task(self._read(stream))
             try:
                 while not reader.done():
@@ -215,11 +216,19 @@
     async def _send_waiting(self, stream: object, encoder: MessageEncoder) -> None:
         await self._wake.wait()
         self._wake.clear()
-        if monotonic() - self._confirmed_at > SILENT_AFTER_S:
+        # An idle link has nothing to confirm, so only the time since a message counts.
+        since = self._unconfirmed_since
+        if since is not None and monotonic() - since > SILENT_AFTER_S:
             raise TimeoutError(f"nothing confirmed for {SILENT_AFTER_S} s")
         async with asyncio.timeout(SILENT_AFTER_S):
             while self._waiting:
                 message = self._waiting.popleft()
+                if self._unconfirmed_since is None:
+                    # A heartbeat is confirmed by the echo of its own reading.
+                    heartbeat = isinstance(message, Heartbeat)
+                    self._unconfirmed_since = (
+                        message.sent_at if heartbeat else monotonic()
+                    )
                 await stream.send_message(encoder.encode(message))  # type: ignore[attr-defined]
 
     async def _read(self, stream: object) -> None:
