--- a/basilwick/testing.py
+++ b/basilwick/testing.py
@@ -121,6 +121,11 @@
         """Whether the process has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative after a signal; None while the process runs."""
+        return None if self._process is None else self._process.returncode
+
     def pause(self) -> None:
         """Stop the process until ``resume``."""
         assert self._process is not None, "call start first"
