--- a/tests/processes/process_site.py
+++ b/tests/processes/process_site.py
@@ -78,8 +78,7 @@
             )
             self.caller_ports[name] = four[0]
             self.instances[name] = await self.group.start("serve", settings)
-        for name in self.instances:
-            await self.wait_until_served(name)
+        await gather(*map(self.wait_until_served, self.instances))
 
     async def _start_server(self, name, checks):
         (port,) = take_ports(1)
