--- a/basilwick/runtime/request_path.py
+++ b/basilwick/runtime/request_path.py
@@ -273,15 +273,12 @@
             # location is looked up again meanwhile.
             return await self._hold(request, min(location.active_at, now + 0.05))
         owner = location.owner
-        right = SendRight(self.view, self.clock, request, service, location)
-        ticket = await self.limits.acquire(owner, request, right.is_current)
-        if ticket is None:
-            self._log(location, request, owner.name, "moved")
-            return None
+        ticket = await self.limits.acquire(owner, request)
         if isinstance(ticket, Refusal):
             self._log(location, request, owner.name, ticket.kind.value)
             return ticket
         self.view.record_request(location, self.clock())
+        right = SendRight(self.view, self.clock, request, service, location)
         result = _NEUTRAL
         answer = None
         try:
--- a/basilwick/runtime/send_right.py
+++ b/basilwick/runtime/send_right.py
@@ -71,14 +71,6 @@
         self.ends_at = end
         return self._encode(location, now)
 
-    def is_current(self) -> bool:
-        """Return whether the key is still located where the request was to be sent."""
-        now = self.clock()
-        location = self.view.locate(self.service, self.request.key, now)
-        if isinstance(location, Refusal):
-            return location.kind is not ErrorKind.NO_OWNER
-        return self._matches(location, now)
-
     def keep_sending(self) -> bool:
         """Return whether another piece of a body may be sent.
 
--- a/basilwick/runtime/server_limits.py
+++ b/basilwick/runtime/server_limits.py
@@ -25,10 +25,6 @@
 
 #: Time in seconds after which the limiter of a server served elsewhere is dropped.
 _FORGET_AFTER_S = 30.0
-#: Interval in seconds at which a queued request looks whether its key still belongs to
-#: the server. Slots of a lost server can stay taken until the deadlines of the requests
-#: in them, and most waits for a healthy server are shorter.
-_RECHECK_INTERVAL_S = 0.05
 
 
 @define(eq=False)
@@ -101,20 +97,8 @@
         entry = self._entries.get(name)
         return None if entry is None else entry.limiter
 
-    async def acquire(
-        self,
-        record: ServerRecord,
-        request: Request,
-        is_current: Callable[[], bool] = lambda: True,
-    ) -> Ticket | Refusal | None:
-        """Wait for a slot.
-
-        Returns
-        -------
-        Ticket, Refusal or None
-            A refusal when the queue cannot take the request; None when ``is_current``
-            returned false during the wait, so that the server is the wrong one.
-        """
+    async def acquire(self, record: ServerRecord, request: Request) -> Ticket | Refusal:
+        """Wait for a slot; returns a refusal when the queue cannot take the request."""
         limiter = self.get(record)
         ticket = limiter.submit(
             QUEUE_CLASSES[request.operation], request.deadline, self.clock()
@@ -122,13 +106,12 @@
         if not isinstance(ticket, Ticket) or ticket.started_at is not None:
             return ticket
         ticket.waiter = asyncio.get_running_loop().create_future()
-        self._schedule_recheck(limiter, ticket, is_current)
         try:
             await ticket.waiter
         except asyncio.CancelledError:
             self.wake(limiter.withdraw(ticket, self.clock()))
             raise
-        return None if ticket.started_at is None else ticket
+        return ticket
 
     def finish(self, record: ServerRecord, ticket: Ticket, result: Result) -> None:
         """Free the slot of a ticket and start the requests that can run."""
@@ -185,21 +168,3 @@
         for ticket in started:
             if not ticket.waiter.done():
                 ticket.waiter.set_result(None)
-
-    def _schedule_recheck(
-        self, limiter: ServerLimiter, ticket: Ticket, is_current: Callable[[], bool]
-    ) -> None:
-        asyncio.get_running_loop().call_later(
-            _RECHECK_INTERVAL_S, self._recheck, limiter, ticket, is_current
-        )
-
-    def _recheck(
-        self, limiter: ServerLimiter, ticket: Ticket, is_current: Callable[[], bool]
-    ) -> None:
-        if ticket.waiter.done():
-            return
-        if is_current():
-            self._schedule_recheck(limiter, ticket, is_current)
-            return
-        self.wake(limiter.withdraw(ticket, self.clock()))
-        ticket.waiter.set_result(None)
