Test that a peer's contact counts only for applied documents

Cause: the guard entered core/confirmation.py without a test or a line in the design. Before: 0 tests of it. After: 2 cases; with the guard taken out the case of a missed revision fails. Conclusion: no behaviour changed.

--- a/tests/core/test_confirmation.py
+++ b/tests/core/test_confirmation.py
@@ -163,3 +163,16 @@
     own = Heartbeat("a", "a#2", "dc-a", address("a"), "", 2.0, generations_version=3)
     (action,) = schedule.send(own, {BLOCK: 7}, {}, [address("b")], 2.0)
     assert action.message.generations == {BLOCK: 7}
+
+
+@pytest.mark.parametrize(("applied", "age"), [(6, 90.0), (7, 4.0)])
+def test_contact_of_a_peer_counts_only_for_applied_documents(applied, age):
+    # Guards against an instance that missed the documents of the contact which renews
+    # its right, and goes on with generations from before its blocks were taken.
+    confirmations = make_confirmations()
+    heartbeat = Heartbeat(
+        "a", "a#1", "dc-a", address("a"), "", START + 90, echoed_at=START + 90,
+        echoed_incarnation="me#1", config_revision=7, platform_age=4.0,
+    )  # fmt: skip
+    confirmations.record_heartbeat(heartbeat, START + 90, applied)
+    assert confirmations.get_platform_age(START + 90) == age
