--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -12,6 +12,7 @@
 from basilwick.cli.demo import demo
 from basilwick.cli.errors import CommandGroup, json_option
 from basilwick.cli.fake import fake
+from basilwick.cli.join import join
 from basilwick.cli.process import run_until_signal
 from basilwick.cli.record import record
 from basilwick.cli.replay import replay
@@ -59,6 +60,7 @@
         echo(f"{settings}: valid")
 
 
+main.add_command(join)
 main.add_command(demo)
 main.add_command(fake)
 main.add_command(record)
--- /dev/null
+++ b/basilwick/core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which backend server runs a request, and when."""
--- /dev/null
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -0,0 +1,473 @@
+"""Decides which server runs a request, which requests wait, and which are refused.
+
+One dispatcher sees all requests of a site, so that slots, warm-up rates and retry
+bounds hold for the sum over all instances. An instance that has lost the leader decides
+with a dispatcher of its own that takes a safe share of them.
+"""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+from attrs import define, field, frozen
+
+from basilwick.core.dispatch.messages import Refused, Send, SendOutcome
+from basilwick.core.dispatch.retry_window import RetryBounds, RetryWindow
+from basilwick.core.dispatch.server_load import ServerLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterator
+    from random import Random
+
+    from basilwick.core.dispatch.messages import Ask, Done
+    from basilwick.core.dispatch.site import ServerEntry, SiteView
+    from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
+
+__all__ = ["Decision", "Dispatcher", "KeyOwner", "KeyOwners", "Share"]
+
+#: Work time in seconds assumed before the first answer of a service.
+_UNKNOWN_WORK_S = 0.05
+_SMOOTHING = 0.05
+#: Longest time in seconds for which a request waits for its key to change hands.
+_LONGEST_MOVE_WAIT_S = 0.4
+#: Shortest and longest time to come back, in seconds.
+_MIN_RETRY_AFTER_S = 0.05
+_MAX_RETRY_AFTER_S = 2.0
+#: Late requests that may wait, in units of the slots that serve them.
+_LATE_QUEUE_PER_SLOT = 1.0
+
+Decision: TypeAlias = Send | Refused
+
+
+@frozen
+class KeyOwner:
+    """Owner of a key.
+
+    Attributes
+    ----------
+    server : str or None
+        Owner that serves the key now, None while nobody does.
+    moving : bool
+        Whether the key is being handed to another server.
+    served_in_s : float
+        Seconds until the key is expected to be served, if nobody serves it.
+    """
+
+    server: ServerName | None
+    moving: bool = False
+    served_in_s: float = 0.5
+
+
+class KeyOwners(Protocol):
+    """Knows which server owns a key of a partitioned service."""
+
+    def find_owner(
+        self, service: ServiceName, key: int, now: MonotonicSeconds
+    ) -> KeyOwner:
+        """Return the owner of a key."""
+
+
+@define
+class Share:
+    """Part of each server's capacity that a dispatcher may use.
+
+    Attributes
+    ----------
+    slots : int or None
+        Slots of each server; None for all.
+    rate : float
+        Share of the warm-up rate of each cold server.
+    """
+
+    slots: int | None = None
+    rate: float = 1.0
+
+
+@define(eq=False)
+class _Ticket:
+    """A waiting or running request."""
+
+    id: Hashable
+    ask: Ask
+    arrived_at: MonotonicSeconds
+    target_at: MonotonicSeconds
+    deadline: MonotonicSeconds
+    server: ServerName | None = None
+    ended: bool = False
+
+
+@define(eq=False)
+class _Lane:
+    """Requests that wait for the same servers."""
+
+    service: ServiceName
+    owner: ServerName | None
+    on_time: list[tuple[int, float, int, _Ticket]] = field(factory=list)
+    late: list[tuple[float, int, _Ticket]] = field(factory=list)
+
+    def count_ahead(self, priority: int, target_at: float) -> int:
+        """Return the number of requests that are served before a new one."""
+        return sum(
+            (entry[0], entry[1]) <= (priority, target_at) and not entry[3].ended
+            for entry in self.on_time
+        )
+
+
+@define(eq=False)
+class _Service:
+    window: RetryWindow
+    work_s: float = 0.0
+    servers: list[ServerEntry] = field(factory=list)
+    version: int = -1
+
+    @property
+    def usual_s(self) -> float:
+        return self.work_s or _UNKNOWN_WORK_S
+
+
+class Dispatcher:
+    """Assigns requests to servers.
+
+    Parameters
+    ----------
+    view : SiteView
+        Services and servers.
+    owners : KeyOwners
+        Owners of the keys of partitioned services.
+    bounds : RetryBounds
+        Bounds of additional sends, for each service.
+    regions : dict of str to str
+        Region of each data centre.
+    rng : random.Random
+        Spreads the times at which refused callers come back.
+    share : Share, optional
+        Part of the capacity that may be used.
+    """
+
+    def __init__(
+        self,
+        view: SiteView,
+        owners: KeyOwners,
+        bounds: RetryBounds,
+        regions: dict[str, str],
+        rng: Random,
+        share: Share | None = None,
+    ):
+        self.share = share or Share()
+        self._view = view
+        self._owners = owners
+        self._bounds = bounds
+        self._regions = regions
+        self._rng = rng
+        self._services: dict[ServiceName, _Service] = {}
+        self._loads: dict[ServerName, ServerLoad] = {}
+        self._lanes: dict[tuple[ServiceName, ServerName | None], _Lane] = {}
+        self._tickets: dict[Hashable, _Ticket] = {}
+        self._moving: list[_Ticket] = []
+        self._order = count()
+
+    def submit(
+        self, ticket_id: Hashable, ask: Ask, now: MonotonicSeconds
+    ) -> Decision | None:
+        """Decide on a request; None while it waits."""
+        service = self._get_service(ask.service)
+        if ask.attempt == 1:
+            service.window.record_request(now)
+        elif not service.window.try_resend(now):
+            return Refused(ask.number, _MIN_RETRY_AFTER_S, "retry budget spent")
+        ticket = _Ticket(
+            ticket_id, ask, now, now + ask.target_left_s, now + ask.time_left_s
+        )
+        self._tickets[ticket_id] = ticket
+        decision = self._place(ticket, now)
+        if isinstance(decision, Refused):
+            del self._tickets[ticket_id]
+        return decision
+
+    def finish(
+        self, ticket_id: Hashable, done: Done, now: MonotonicSeconds
+    ) -> list[tuple[Hashable, Decision]]:
+        """End a send; returns the decisions on requests that waited for it."""
+        ticket = self._tickets.pop(ticket_id, None)
+        if ticket is None or ticket.server is None:
+            return []
+        service = self._get_service(ticket.ask.service)
+        self._get_load(ticket.server).finish(done.outcome, done.latency_s, now)
+        if done.outcome is SendOutcome.OK:
+            work_s = service.usual_s
+            service.work_s = work_s + _SMOOTHING * (done.latency_s - work_s)
+        return list(self._serve_lane(self._find_lane(ticket), now))
+
+    def cancel(
+        self, ticket_id: Hashable, now: MonotonicSeconds
+    ) -> list[tuple[Hashable, Decision]]:
+        """Drop a request, waiting or sent; returns the decisions that follow."""
+        ticket = self._tickets.pop(ticket_id, None)
+        if ticket is None:
+            return []
+        ticket.ended = True
+        if ticket.server is None:
+            return []
+        self._get_load(ticket.server).finish(SendOutcome.WITHDRAWN, 0.0, now)
+        return list(self._serve_lane(self._find_lane(ticket), now))
+
+    def advance(self, now: MonotonicSeconds) -> list[tuple[Hashable, Decision]]:
+        """Decide on waiting requests after time has passed or owners changed."""
+        decisions = []
+        moving, self._moving = self._moving, []
+        for ticket in moving:
+            if not ticket.ended:
+                decision = self._place(ticket, now)
+                if decision is not None:
+                    decisions.append((ticket.id, self._conclude(ticket, decision)))
+        for key, lane in list(self._lanes.items()):
+            if lane.on_time or lane.late:
+                decisions += self._rehome(lane, now)
+                decisions += self._serve_lane(lane, now)
+            elif lane.owner is not None:
+                del self._lanes[key]
+        return decisions
+
+    def measure_load(self, name: ServerName) -> ServerLoad:
+        """Return what is known of a server's load."""
+        return self._get_load(name)
+
+    def get_work_s(self, service: ServiceName) -> float:
+        """Return the usual work time of a service in seconds."""
+        return self._get_service(service).usual_s
+
+    def forget_server(self, name: ServerName) -> None:
+        """Drop what is known of a server that is gone."""
+        self._loads.pop(name, None)
+
+    # Placing
+
+    def _place(self, ticket: _Ticket, now: MonotonicSeconds) -> Decision | None:
+        ask = ticket.ask
+        spec = self._view.get_service(ask.service)
+        if spec is None:
+            return self._refuse(ask, 0.5, "service is not configured")
+        owner = None
+        if spec.partitioned and ask.key >= 0:
+            found = self._owners.find_owner(ask.service, ask.key, now)
+            if found.server is None and found.moving:
+                return self._hold(ticket, now)
+            if found.server is None:
+                return self._refuse(ask, found.served_in_s, "key has no live owner")
+            owner = found.server
+        return self._enter_lane(self._get_lane(ask.service, owner), ticket, now)
+
+    def _hold(self, ticket: _Ticket, now: MonotonicSeconds) -> Refused | None:
+        usual_s = self._get_service(ticket.ask.service).usual_s
+        give_up_at = min(
+            ticket.arrived_at + _LONGEST_MOVE_WAIT_S, ticket.deadline - usual_s
+        )
+        if now >= give_up_at:
+            return self._refuse(ticket.ask, 0.1, "key is still being handed over")
+        self._moving.append(ticket)
+        return None
+
+    def _enter_lane(
+        self, lane: _Lane, ticket: _Ticket, now: MonotonicSeconds
+    ) -> Decision | None:
+        if not lane.on_time:
+            sent = self._try_send(lane, ticket, now)
+            if sent is not None:
+                return sent
+        ask = ticket.ask
+        slots = self._count_slots(lane, now)
+        if not slots:
+            return self._refuse(ask, 0.25, "no server can be reached")
+        work_s = self._estimate_work(lane, now)
+        ahead = lane.count_ahead(ask.priority, ticket.target_at)
+        wait_s = (ahead + 1) * work_s / slots
+        if now + wait_s + work_s <= ticket.target_at:
+            entry = (ask.priority, ticket.target_at, next(self._order), ticket)
+            heappush(lane.on_time, entry)
+            return None
+        wait_s = (len(lane.on_time) + len(lane.late) + 1) * work_s / slots
+        in_time = now + wait_s + work_s <= ticket.deadline
+        if in_time and len(lane.late) < _LATE_QUEUE_PER_SLOT * slots:
+            heappush(lane.late, (ticket.deadline, next(self._order), ticket))
+            return None
+        return self._refuse(ask, wait_s, "no server has room in time")
+
+    def _try_send(
+        self, lane: _Lane, ticket: _Ticket, now: MonotonicSeconds
+    ) -> Send | None:
+        server = self._choose_server(lane, ticket, now)
+        if server is None:
+            return None
+        self._get_load(server.name).running += 1
+        ticket.server = server.name
+        return Send(ticket.ask.number, server.name, server.address)
+
+    def _choose_server(
+        self, lane: _Lane, ticket: _Ticket, now: MonotonicSeconds
+    ) -> ServerEntry | None:
+        usual_s = self._get_service(lane.service).usual_s
+        best = None
+        best_score = float("inf")
+        for server in self._list_servers(lane, ticket.ask):
+            load = self._get_load(server.name)
+            slots = self._get_slots(server)
+            if load.running >= slots or now < load.blocked_until:
+                continue
+            cold = self._view.is_cold(server.name, now)
+            score = load.score(usual_s, slots, cold, now)
+            if server.name in ticket.ask.tried and lane.owner is None:
+                score += 10.0 * usual_s
+            if score >= best_score or (cold and not self._may_warm(load, lane, now)):
+                continue
+            best, best_score = server, score
+        if best is not None and self._view.is_cold(best.name, now):
+            self._take_warm_up(best, lane, now)
+        return best
+
+    def _may_warm(self, load: ServerLoad, lane: _Lane, now: MonotonicSeconds) -> bool:
+        spec = self._view.get_service(lane.service)
+        rate = spec.warm_up_rate * self.share.rate
+        return load.warm_up.tokens + (now - load.warm_up.updated_at) * rate >= 1.0
+
+    def _take_warm_up(
+        self, server: ServerEntry, lane: _Lane, now: MonotonicSeconds
+    ) -> None:
+        spec = self._view.get_service(lane.service)
+        rate = spec.warm_up_rate * self.share.rate
+        self._get_load(server.name).warm_up.try_take(rate, now)
+
+    # Waiting requests
+
+    def _serve_lane(
+        self, lane: _Lane, now: MonotonicSeconds
+    ) -> Iterator[tuple[Hashable, Decision]]:
+        work_s = self._estimate_work(lane, now)
+        while lane.on_time:
+            ticket = lane.on_time[0][3]
+            if ticket.ended:
+                heappop(lane.on_time)
+                continue
+            if now + work_s > ticket.target_at + work_s / 2:
+                heappop(lane.on_time)
+                heappush(lane.late, (ticket.deadline, next(self._order), ticket))
+                continue
+            sent = self._try_send(lane, ticket, now)
+            if sent is None:
+                break
+            heappop(lane.on_time)
+            yield ticket.id, sent
+        while lane.late:
+            ticket = lane.late[0][2]
+            if ticket.ended:
+                heappop(lane.late)
+                continue
+            if now + work_s > ticket.deadline:
+                heappop(lane.late)
+                refused = self._refuse(ticket.ask, work_s, "no server had room in time")
+                yield ticket.id, self._conclude(ticket, refused)
+                continue
+            sent = None if lane.on_time else self._try_send(lane, ticket, now)
+            if sent is None:
+                return
+            heappop(lane.late)
+            yield ticket.id, sent
+
+    def _rehome(
+        self, lane: _Lane, now: MonotonicSeconds
+    ) -> list[tuple[Hashable, Decision]]:
+        """Place the requests of a lane again whose keys have another owner now."""
+        if lane.owner is None:
+            return []
+        waiting = [entry[3] for entry in lane.on_time]
+        waiting += [entry[2] for entry in lane.late]
+        moved = [
+            ticket
+            for ticket in waiting
+            if not ticket.ended
+            and self._owners.find_owner(lane.service, ticket.ask.key, now).server
+            != lane.owner
+        ]
+        if not moved:
+            return []
+        lost = set(map(id, moved))
+        lane.on_time = sorted(e for e in lane.on_time if id(e[3]) not in lost)
+        lane.late = sorted(e for e in lane.late if id(e[2]) not in lost)
+        decisions = []
+        for ticket in moved:
+            decision = self._place(ticket, now)
+            if decision is not None:
+                decisions.append((ticket.id, self._conclude(ticket, decision)))
+        return decisions
+
+    def _conclude(self, ticket: _Ticket, decision: Decision) -> Decision:
+        if isinstance(decision, Refused):
+            ticket.ended = True
+            self._tickets.pop(ticket.id, None)
+        return decision
+
+    def _refuse(self, ask: Ask, wait_s: float, reason: str) -> Refused:
+        spread = 0.75 + 0.5 * self._rng.random()
+        retry_after_s = max(wait_s * spread, _MIN_RETRY_AFTER_S)
+        retry_after_s = min(retry_after_s, _MAX_RETRY_AFTER_S)
+        return Refused(ask.number, retry_after_s, reason)
+
+    # Lookups
+
+    def _find_lane(self, ticket: _Ticket) -> _Lane:
+        spec = self._view.get_service(ticket.ask.service)
+        keyed = spec is not None and spec.partitioned and ticket.ask.key >= 0
+        return self._get_lane(ticket.ask.service, ticket.server if keyed else None)
+
+    def _get_lane(self, service: ServiceName, owner: ServerName | None) -> _Lane:
+        lane = self._lanes.get((service, owner))
+        if lane is None:
+            lane = self._lanes[service, owner] = _Lane(service, owner)
+        return lane
+
+    def _get_service(self, name: ServiceName) -> _Service:
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = _Service(RetryWindow(self._bounds))
+        return service
+
+    def _get_load(self, name: ServerName) -> ServerLoad:
+        load = self._loads.get(name)
+        if load is None:
+            load = self._loads[name] = ServerLoad()
+        return load
+
+    def _get_slots(self, server: ServerEntry) -> int:
+        if self.share.slots is None:
+            return server.slots
+        return min(server.slots, self.share.slots)
+
+    def _list_servers(self, lane: _Lane, ask: Ask | None = None) -> list[ServerEntry]:
+        if lane.owner is not None:
+            owner = self._view.get_server(lane.owner)
+            return [owner] if owner and self._view.may_use(lane.owner) else []
+        service = self._get_service(lane.service)
+        if service.version != self._view.version:
+            service.servers = self._view.list_servers(lane.service)
+            service.version = self._view.version
+        if ask is None or not ask.home_regions:
+            return service.servers
+        return [
+            server
+            for server in service.servers
+            if self._regions.get(server.data_centre) in ask.home_regions
+        ]
+
+    def _count_slots(self, lane: _Lane, now: MonotonicSeconds) -> int:
+        return sum(
+            self._get_slots(server)
+            for server in self._list_servers(lane)
+            if now >= self._get_load(server.name).blocked_until
+        )
+
+    def _estimate_work(self, lane: _Lane, now: MonotonicSeconds) -> float:
+        usual_s = self._get_service(lane.service).usual_s
+        if lane.owner is None:
+            return usual_s
+        return self._get_load(lane.owner).estimate_work(usual_s, now)
--- /dev/null
+++ b/basilwick/core/dispatch/messages.py
@@ -0,0 +1,136 @@
+"""Messages between an instance and the leader that decides where its requests go."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TypeAlias
+
+from attrs import frozen
+
+__all__ = [
+    "Ask",
+    "Beat",
+    "Cancel",
+    "Done",
+    "Hello",
+    "LinkMessage",
+    "Refused",
+    "SendOutcome",
+    "Send",
+]
+
+
+class SendOutcome(StrEnum):
+    """How a send to a server ended, as far as it says something about the server."""
+
+    OK = "ok"
+    #: The server answered with a failure of its own.
+    FAILED = "failed"
+    #: The server said that it did not run the request, for lack of room.
+    SHED = "shed"
+    #: The server does not own the key, or another server has the address.
+    MISDIRECTED = "misdirected"
+    #: No connection could be opened.
+    UNREACHABLE = "unreachable"
+    #: The connection ended without a whole answer.
+    LOST = "lost"
+    #: No answer in time.
+    TIMEOUT = "timeout"
+    #: The caller left, or the send was not made.
+    WITHDRAWN = "withdrawn"
+
+
+@frozen
+class Hello:
+    """First message of an instance on a link."""
+
+    instance: str
+    data_centre: str
+
+
+@frozen
+class Ask:
+    """A request that looks for a server.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the request on its link.
+    key : int
+        Key of a partitioned service, -1 without one.
+    target_left_s, time_left_s : float
+        Seconds until the target latency and until the deadline.
+    attempt : int
+        1 for the first send.
+    tried : tuple of str
+        Servers that earlier attempts were sent to.
+    """
+
+    number: int
+    service: str
+    key: int
+    priority: int
+    target_left_s: float
+    time_left_s: float
+    attempt: int = 1
+    tried: tuple[str, ...] = ()
+    home_regions: tuple[str, ...] = ()
+
+
+@frozen
+class Cancel:
+    """The request of an ask has ended before its answer."""
+
+    number: int
+
+
+@frozen
+class Done:
+    """A granted send has ended.
+
+    Attributes
+    ----------
+    latency_s : float
+        Seconds from the send to the answer.
+    slowness : float
+        Work time on the server's machine relative to the usual one, 0 if not known.
+    """
+
+    number: int
+    outcome: SendOutcome
+    latency_s: float
+    slowness: float = 0.0
+
+
+@frozen
+class Send:
+    """Answer to an ask: the server to send to."""
+
+    number: int
+    server: str
+    address: str
+
+
+@frozen
+class Refused:
+    """Answer to an ask: no server has room in time.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Seconds after which room is expected.
+    """
+
+    number: int
+    retry_after_s: float
+    reason: str
+
+
+@frozen
+class Beat:
+    """Sign of life of the leader, with the number of linked instances."""
+
+    instances: int
+
+
+LinkMessage: TypeAlias = Hello | Ask | Cancel | Done | Send | Refused | Beat
--- /dev/null
+++ b/basilwick/core/dispatch/server_load.py
@@ -0,0 +1,116 @@
+"""What is known of the load and speed of one backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from basilwick.core.dispatch.messages import SendOutcome
+
+if TYPE_CHECKING:
+    from basilwick.core.types import MonotonicSeconds
+
+__all__ = ["ServerLoad", "WarmUpRate"]
+
+#: Weight of the newest sample in the moving averages.
+_SMOOTHING = 0.15
+#: Time in seconds after which a server that got no request counts as ordinary again,
+#: so that a former straggler is tried.
+_FORGET_AFTER_S = 2.0
+#: First and longest time in seconds for which an unreachable server gets nothing.
+_FIRST_BLOCK_S = 0.25
+_LONGEST_BLOCK_S = 2.0
+#: Work that a failed request stands for, in units of the mean work.
+_FAILURE_COST = 3.0
+#: Work time of a cold server in units of the ordinary one.
+_COLD_COST = 2.0
+#: Share of the warm-up rate that may be sent at one moment.
+_BURST_S = 0.1
+_FAILURES = (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.SHED)
+_NO_CONTACT = (SendOutcome.UNREACHABLE, SendOutcome.TIMEOUT)
+
+
+@define
+class WarmUpRate:
+    """Token bucket for a cold server."""
+
+    tokens: float = 1.0
+    updated_at: MonotonicSeconds = 0.0
+
+    def try_take(self, rate: float, now: MonotonicSeconds) -> bool:
+        """Take one request of a rate per second."""
+        burst = max(1.0, rate * _BURST_S)
+        self.tokens = min(burst, self.tokens + (now - self.updated_at) * rate)
+        self.updated_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@define(eq=False)
+class ServerLoad:
+    """Running requests, work time and failures of a server.
+
+    Attributes
+    ----------
+    running : int
+        Requests sent and not ended.
+    work_s : float
+        Moving average of the time to an answer, in seconds.
+    failure_share : float
+        Moving average of the share of failed sends.
+    blocked_until : float
+        Local time before which the server gets nothing.
+    """
+
+    running: int = 0
+    work_s: float = 0.0
+    failure_share: float = 0.0
+    blocked_until: MonotonicSeconds = 0.0
+    warm_up: WarmUpRate = field(factory=WarmUpRate)
+    _measured_at: MonotonicSeconds = float("-inf")
+    _blocks: int = 0
+
+    def estimate_work(self, usual_s: float, now: MonotonicSeconds) -> float:
+        """Return the expected time of a request in seconds."""
+        if not self.work_s or now - self._measured_at > _FORGET_AFTER_S:
+            return usual_s
+        return self.work_s
+
+    def score(
+        self, usual_s: float, slots: int, cold: bool, now: MonotonicSeconds
+    ) -> float:
+        """Return the cost of sending here, in seconds; the least one is best."""
+        cost = self.estimate_work(usual_s, now)
+        cost *= 1.0 + 0.25 * self.running / max(1, slots)
+        if now - self._measured_at <= _FORGET_AFTER_S:
+            cost += self.failure_share * _FAILURE_COST * usual_s
+        return cost * _COLD_COST if cold else cost
+
+    def finish(
+        self, outcome: SendOutcome, latency_s: float, now: MonotonicSeconds
+    ) -> None:
+        """Free a slot and learn from the outcome."""
+        self.running = max(0, self.running - 1)
+        if outcome is SendOutcome.WITHDRAWN:
+            return
+        failed = outcome in _FAILURES or outcome in _NO_CONTACT
+        self.failure_share += _SMOOTHING * (failed - self.failure_share)
+        self._measured_at = now
+        if outcome in _NO_CONTACT:
+            self._block(now)
+        elif outcome is SendOutcome.OK:
+            self._blocks = 0
+            if self.work_s:
+                self.work_s += _SMOOTHING * (latency_s - self.work_s)
+            else:
+                self.work_s = latency_s
+
+    def _block(self, now: MonotonicSeconds) -> None:
+        if now < self.blocked_until:
+            return
+        self._blocks = min(self._blocks + 1, 8)
+        pause_s = min(_LONGEST_BLOCK_S, _FIRST_BLOCK_S * 2 ** (self._blocks - 1))
+        self.blocked_until = now + pause_s
--- /dev/null
+++ b/basilwick/core/ranges/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about which backend server owns which range of keys."""
--- /dev/null
+++ b/basilwick/core/ranges/capacities.py
@@ -0,0 +1,106 @@
+"""Measured capacity and load of the servers of a partitioned service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from basilwick.core.ranges.key_load import KeyLoad
+from basilwick.core.ranges.placement import Capacity, Move, OwnedSpan, plan_moves
+from basilwick.core.ranges.table import Phase
+
+if TYPE_CHECKING:
+    from basilwick.core.dispatch.dispatcher import Dispatcher
+    from basilwick.core.dispatch.site import ServerEntry, SiteView
+    from basilwick.core.ranges.table import RangeTable
+    from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
+
+__all__ = ["OwnerSelection"]
+
+
+@define(eq=False)
+class OwnerSelection:
+    """Chooses owners for one partitioned service by the load of its keys.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    view : SiteView
+        Servers of the site.
+    dispatcher : Dispatcher
+        Measures the servers' work times.
+    """
+
+    service: ServiceName
+    view: SiteView
+    dispatcher: Dispatcher
+    load: KeyLoad = field(factory=KeyLoad)
+    #: Utilization of each server that may get keys, as of the last plan.
+    _utilization: dict[ServerName, float] = field(factory=dict)
+
+    def may_own(self, server: ServerName) -> bool:
+        """Return whether a server may keep its ranges."""
+        return self.view.may_use(server)
+
+    def choose_owner(self, avoid: ServerName | None) -> ServerName | None:
+        """Return the server with the most room, for a range that needs an owner."""
+        candidates = [
+            entry.name for entry in self._list_candidates(0.0) if entry.name != avoid
+        ]
+        if not candidates:
+            return None
+        best = min(candidates, key=lambda name: self._utilization.get(name, 0.0))
+        # The next range goes elsewhere until the load is measured again.
+        self._utilization[best] = self._utilization.get(best, 0.0) + 0.05
+        return best
+
+    def list_owners(self, now: MonotonicSeconds) -> list[ServerName]:
+        """Return the servers that may get ranges."""
+        return [entry.name for entry in self._list_candidates(now)]
+
+    def plan(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
+        """Return the moves that even out the load."""
+        capacities = [
+            Capacity(entry.name, self._get_capacity(entry, now), entry.data_centre)
+            for entry in self._list_candidates(now)
+        ]
+        spans = [
+            OwnedSpan(item.first, item.last, item.owner)
+            for item in table.ranges
+            if item.phase is Phase.OWNED and item.owner is not None
+        ]
+        rates = self.load.list_rates(now)
+        self._measure(table, rates, capacities)
+        return plan_moves(spans, rates, capacities)
+
+    def _list_candidates(self, now: MonotonicSeconds) -> list[ServerEntry]:
+        entries = self.view.list_servers(self.service)
+        reached = [
+            entry
+            for entry in entries
+            if now >= self.dispatcher.measure_load(entry.name).blocked_until
+        ]
+        warm = [entry for entry in reached if not self.view.is_cold(entry.name, now)]
+        return warm or reached or entries
+
+    def _get_capacity(self, entry: ServerEntry, now: MonotonicSeconds) -> float:
+        usual_s = self.dispatcher.get_work_s(self.service)
+        load = self.dispatcher.measure_load(entry.name)
+        return entry.slots / load.estimate_work(usual_s, now)
+
+    def _measure(
+        self,
+        table: RangeTable,
+        rates: list[tuple[int, float]],
+        capacities: list[Capacity],
+    ) -> None:
+        load = dict.fromkeys((c.server for c in capacities), 0.0)
+        for key, rate in rates:
+            owner = table.find(key).owner
+            if owner in load:
+                load[owner] += rate
+        self._utilization = {
+            c.server: load[c.server] / c.requests_per_s for c in capacities
+        }
--- /dev/null
+++ b/basilwick/core/ranges/control.py
@@ -0,0 +1,509 @@
+"""Decides the grants, releases and moves of the key ranges of one service.
+
+A server runs a request only while it holds the key, refuses a grant with a lower fence
+than it has seen on any of the keys, and loses a grant that isn't renewed. One leader
+orders all grants. Correctness doesn't rest on there being one leader:
+
+- A new owner is stored by compare-and-swap before any order of its move is sent, so of
+  two leaders only one can move keys.
+- A leader takes its fences from a block that it reserved by compare-and-swap, above all
+  earlier ones. A server that has answered it refuses the grants of earlier leaders.
+- The former owner is first granted the range with a higher fence and must answer, which
+  shuts out earlier grants still under way; then it releases the range and must answer,
+  or all grants that it may have are waited out.
+- A leader without contact to the platform's service renews for a bounded time only.
+  A later leader waits that long before it gives away the keys of a server that it never
+  reached.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+from attrs import define, field, frozen
+
+from basilwick.core.dispatch.dispatcher import KeyOwner
+from basilwick.core.ranges.placement import plan_even_shares
+from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from basilwick.core.ranges.placement import Move
+    from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
+
+__all__ = [
+    "FenceBlock",
+    "GrantOrder",
+    "Order",
+    "OrderResult",
+    "OwnerTimes",
+    "RangeControl",
+    "ReleaseOrder",
+    "Servers",
+]
+
+#: Hold in seconds of a grant that only raises the fence of a server which should not
+#: go on with the range.
+_FENCING_HOLD_S = 0.05
+#: Interval in seconds between an order without an answer and the next one.
+_REPEAT_AFTER_S = 0.2
+#: Orders without an answer after which a server counts as unreachable.
+_FAILURES_TO_GIVE_UP = 2
+#: Time in seconds by which a range stops being served before its grant ends.
+_SERVING_MARGIN_S = 0.15
+_NEVER = float("-inf")
+
+
+class OrderResult(StrEnum):
+    """How a server answered an order."""
+
+    OK = "ok"
+    #: It has seen a higher fence.
+    CONFLICT = "conflict"
+    #: No answer; the order may be carried out later.
+    LOST = "lost"
+    #: The order was not sent, because no connection could be opened.
+    UNSENT = "unsent"
+
+
+@frozen
+class OwnerTimes:
+    """Time limits of the ownership protocol, in seconds.
+
+    Attributes
+    ----------
+    hold_s : float
+        Time for which a grant is in force.
+    renewal_s : float
+        Interval between renewals.
+    order_timeout_s : float
+        Longest wait for an answer to a grant.
+    autonomy_s : float
+        Time for which a leader goes on renewing without the platform's service.
+    clock_margin : float
+        Largest share by which a server's clock runs slow.
+    slack_s : float
+        Further time granted to delays.
+    """
+
+    hold_s: float = 3.0
+    renewal_s: float = 0.6
+    order_timeout_s: float = 0.6
+    autonomy_s: float = 9.0
+    clock_margin: float = 0.02
+    slack_s: float = 0.1
+
+    @property
+    def answered_hold_s(self) -> float:
+        """Longest time from the answer to a grant to its end."""
+        return self.hold_s * (1.0 + self.clock_margin) + self.slack_s
+
+    @property
+    def longest_hold_s(self) -> float:
+        """Longest time from the send of a grant to its end."""
+        return self.order_timeout_s + self.answered_hold_s
+
+
+@define
+class FenceBlock:
+    """Fences that a leader has reserved."""
+
+    following: int
+    end: int
+
+    def take(self) -> int:
+        """Return a fence that was never used."""
+        if self.following >= self.end:
+            raise ValueError(f"all fences below {self.end} are used; reserve more")
+        self.following += 1
+        return self.following - 1
+
+
+@frozen
+class GrantOrder:
+    """Grant of a range to a server."""
+
+    number: int
+    server: ServerName
+    first: int
+    last: int
+    fence: int
+    hold_s: float
+    hand_over: str | None = None
+
+
+@frozen
+class ReleaseOrder:
+    """Request to a server to finish its work on a range."""
+
+    number: int
+    server: ServerName
+    first: int
+    last: int
+    fence: int
+
+
+Order: TypeAlias = GrantOrder | ReleaseOrder
+
+
+@frozen
+class _Pending:
+    """Order without an answer yet.
+
+    Attributes
+    ----------
+    sent_at : float
+        Local time of the send.
+    held_before : float
+        Latest end of the grants sent before.
+    """
+
+    item: KeyRange
+    order: Order
+    sent_at: MonotonicSeconds
+    held_before: MonotonicSeconds
+
+
+class Servers(Protocol):
+    """What the control has to know of servers."""
+
+    def may_own(self, server: ServerName) -> bool:
+        """Return whether a server may keep its ranges."""
+
+    def choose_owner(self, avoid: ServerName | None) -> ServerName | None:
+        """Return the server that should take over a range."""
+
+
+@define(eq=False)
+class RangeControl:
+    """Ownership of the ranges of one service, as its leader decides it.
+
+    Attributes
+    ----------
+    taken_over_at : float
+        Local time at which the leadership began.
+    unstored : bool
+        Whether ownership changed since it was last stored.
+    deposed : bool
+        Whether a server has seen the fences of a later leader.
+    """
+
+    service: ServiceName
+    table: RangeTable
+    fences: FenceBlock
+    times: OwnerTimes
+    servers: Servers
+    taken_over_at: MonotonicSeconds
+    unstored: bool = False
+    deposed: bool = False
+    _numbers: int = 0
+    _pending: dict[int, _Pending] = field(factory=dict)
+    _storing: list[KeyRange] | None = None
+
+    def __attrs_post_init__(self) -> None:
+        for item in self.table.ranges:
+            if item.former is not None:
+                # The move of an earlier leader is carried out from its beginning.
+                item.target, item.owner = item.owner, item.former
+                item.former = None
+                item.enter(Phase.RAISING, self.taken_over_at)
+            elif item.owner is not None:
+                item.enter(Phase.OWNED, self.taken_over_at)
+            item.held_until = self._get_strange_hold_end()
+
+    # Decisions
+
+    def find_owner(
+        self, service: ServiceName, key: int, now: MonotonicSeconds
+    ) -> KeyOwner:
+        """Return the owner of a key."""
+        item = self.table.find(key)
+        if item.phase in (Phase.OWNED, Phase.STORING):
+            if item.owner is not None and not self.servers.may_own(item.owner):
+                return KeyOwner(None, moving=True)
+            if now < item.serving_until - _SERVING_MARGIN_S:
+                return KeyOwner(item.owner)
+            return KeyOwner(None, moving=not item.failures, served_in_s=0.3)
+        if item.phase in (Phase.RAISING, Phase.RELEASING):
+            return KeyOwner(None, moving=True)
+        if item.phase is Phase.FREE:
+            return KeyOwner(None)
+        return KeyOwner(None, served_in_s=max(0.2, item.held_until - now))
+
+    def move(self, moves: Sequence[Move], now: MonotonicSeconds) -> int:
+        """Begin moves; returns how many were begun."""
+        begun = 0
+        for move in moves:
+            found = self.table.find(move.first)
+            if found.last < move.last or not self._is_settled(found):
+                continue
+            if found.owner == move.target:
+                continue
+            item = self.table.carve(move.first, move.last)
+            self._begin_move(item, move.target, now)
+            begun += 1
+        return begun
+
+    def assign_free(self, servers: Sequence[ServerName], now: MonotonicSeconds) -> None:
+        """Give the ranges that nobody owns to servers, in even shares."""
+        free = [item for item in self.table.ranges if item.phase is Phase.FREE]
+        for item in free:
+            for move in plan_even_shares(item.first, item.last, servers):
+                part = self.table.carve(move.first, move.last)
+                self._begin_move(part, move.target, now)
+
+    def tick(self, now: MonotonicSeconds) -> list[Order]:
+        """Return the orders that are due."""
+        self._join_neighbours()
+        orders = []
+        for item in self.table.ranges:
+            if item.pending or now < item.next_order_at:
+                continue
+            held_before = item.held_until
+            order = self._decide(item, now)
+            if order is not None:
+                item.pending = order.number
+                pending = _Pending(item, order, now, held_before)
+                self._pending[order.number] = pending
+                orders.append(order)
+        return orders
+
+    def take_unstored(self) -> list[StoredRange] | None:
+        """Return the ownership to store, None if it is stored or being stored."""
+        if not self.unstored or self._storing is not None:
+            return None
+        self.unstored = False
+        self._storing = [r for r in self.table.ranges if r.phase is Phase.STORING]
+        stored = []
+        for item in self.table.ranges:
+            owner, former = item.owner, None
+            if item.target is not None:
+                owner, former = item.target, item.owner
+            stored.append(
+                KeyRange(item.first, item.last, owner or None, former or None)
+            )
+        return RangeTable(stored).list_stored()
+
+    # Answers
+
+    def note_stored(self, stored: bool, now: MonotonicSeconds) -> None:
+        """Take the result of storing the ownership; a failure is stored again."""
+        waiting, self._storing = self._storing or [], None
+        if not stored:
+            self.unstored = True
+            return
+        for item in waiting:
+            if item.phase is not Phase.STORING:
+                continue
+            if item.owner is None or now >= item.held_until:
+                self._hand_to_target(item, now)
+            elif item.failures >= _FAILURES_TO_GIVE_UP:
+                item.enter(Phase.EXPIRING, now)
+            else:
+                item.enter(Phase.RAISING, now)
+
+    def note_granted(
+        self, order: GrantOrder, result: OrderResult, now: MonotonicSeconds
+    ) -> None:
+        """Take the answer to a grant."""
+        pending = self._take_pending(order)
+        if pending is None:
+            return
+        item = pending.item
+        if result is OrderResult.OK:
+            self._note_accepted(pending, order.hold_s, now)
+        elif result is OrderResult.CONFLICT:
+            self._note_conflict(item, now)
+        else:
+            if result is OrderResult.UNSENT:
+                item.held_until = pending.held_before
+            self._note_lost(item, now)
+
+    def note_released(
+        self,
+        order: ReleaseOrder,
+        result: OrderResult,
+        hand_over: str | None,
+        now: MonotonicSeconds,
+    ) -> None:
+        """Take the answer to a release."""
+        pending = self._take_pending(order)
+        if pending is None:
+            return
+        item = pending.item
+        if result is not OrderResult.OK:
+            self._note_lost(item, now)
+            return
+        item.hand_over = hand_over
+        self._hand_to_target(item, now)
+
+    def note_restarted(self, server: ServerName, now: MonotonicSeconds) -> None:
+        """Note that a server's process is another one, which holds nothing."""
+        for item in self.table.ranges:
+            if item.owner != server:
+                continue
+            item.held_until = now
+            item.serving_until = _NEVER
+            item.fence = 0
+            if item.phase in (Phase.RAISING, Phase.RELEASING, Phase.EXPIRING):
+                if item.target is not None:
+                    self._hand_to_target(item, now)
+            else:
+                item.next_order_at = now
+
+    # Parts of a decision
+
+    def _decide(self, item: KeyRange, now: MonotonicSeconds) -> Order | None:
+        if item.phase is Phase.FREE:
+            return None
+        if item.phase is Phase.EXPIRING:
+            self._wait_out(item, now)
+            return None
+        if item.phase is Phase.OWNED and not self.servers.may_own(item.owner):
+            target = self.servers.choose_owner(item.owner)
+            if target is not None:
+                self._begin_move(item, target, now)
+                return None
+        if item.phase is Phase.RELEASING:
+            return self._order_release(item, now)
+        if item.phase is Phase.RAISING:
+            item.fence = self.fences.take()
+            hold_s = self.times.hold_s if item.confirmed else _FENCING_HOLD_S
+            return self._order_grant(item, hold_s, now)
+        if not item.fence:
+            item.fence = self.fences.take()
+        return self._order_grant(item, self.times.hold_s, now)
+
+    def _begin_move(
+        self, item: KeyRange, target: ServerName, now: MonotonicSeconds
+    ) -> None:
+        item.target = target
+        # Orders to the present owner go on while the move is being stored.
+        item.phase = Phase.STORING
+        item.phase_since = now
+        if item.owner is None:
+            item.next_order_at = float("inf")
+        self.unstored = True
+
+    def _order_grant(
+        self, item: KeyRange, hold_s: float, now: MonotonicSeconds
+    ) -> GrantOrder:
+        item.held_until = max(item.held_until, now + self.times.longest_hold_s)
+        return GrantOrder(
+            self._next_number(),
+            item.owner,
+            item.first,
+            item.last,
+            item.fence,
+            hold_s,
+            item.hand_over if item.phase is Phase.OWNED else None,
+        )
+
+    def _order_release(self, item: KeyRange, now: MonotonicSeconds) -> Order | None:
+        if now >= item.held_until:
+            self._hand_to_target(item, now)
+            return None
+        return ReleaseOrder(
+            self._next_number(), item.owner, item.first, item.last, item.fence
+        )
+
+    def _wait_out(self, item: KeyRange, now: MonotonicSeconds) -> None:
+        if item.target is None:
+            target = self.servers.choose_owner(item.owner)
+            if target is None:
+                item.enter(Phase.OWNED, now)
+            else:
+                item.target = target
+                item.phase = Phase.STORING
+                item.failures = _FAILURES_TO_GIVE_UP
+                item.next_order_at = float("inf")
+                self.unstored = True
+        elif now >= item.held_until:
+            self._hand_to_target(item, now)
+
+    def _hand_to_target(self, item: KeyRange, now: MonotonicSeconds) -> None:
+        item.owner, item.target = item.target, None
+        item.fence = 0
+        item.confirmed = False
+        item.serving_until = item.held_until = _NEVER
+        item.enter(Phase.OWNED, now)
+
+    def _note_accepted(
+        self, pending: _Pending, hold_s: float, now: MonotonicSeconds
+    ) -> None:
+        item = pending.item
+        item.failures = 0
+        # Earlier orders without an answer have arrived by now or are refused, so only
+        # the accepted grant can still be in force.
+        item.confirmed = True
+        item.held_until = now + self.times.answered_hold_s
+        if item.phase is Phase.RAISING:
+            item.enter(Phase.RELEASING, now)
+            return
+        item.hand_over = None
+        item.serving_until = pending.sent_at + hold_s
+        item.next_order_at = now + self.times.renewal_s
+
+    def _note_conflict(self, item: KeyRange, now: MonotonicSeconds) -> None:
+        item.failures += 1
+        item.serving_until = _NEVER
+        item.next_order_at = now
+        item.fence = 0
+        if item.failures > _FAILURES_TO_GIVE_UP:
+            self.deposed = True
+            item.next_order_at = now + _REPEAT_AFTER_S
+
+    def _note_lost(self, item: KeyRange, now: MonotonicSeconds) -> None:
+        item.failures += 1
+        item.next_order_at = now + _REPEAT_AFTER_S
+        if item.failures < _FAILURES_TO_GIVE_UP:
+            return
+        if item.phase in (Phase.OWNED, Phase.RAISING):
+            item.enter(Phase.EXPIRING, now)
+        elif item.phase is Phase.STORING:
+            # No more renewals, so that the grant runs out while the move is stored.
+            item.next_order_at = float("inf")
+
+    def _take_pending(self, order: Order) -> _Pending | None:
+        """Return what an answer belongs to, None if the range has moved on."""
+        pending = self._pending.pop(order.number, None)
+        if pending is None or pending.item.pending != order.number:
+            return None
+        pending.item.pending = 0
+        return pending
+
+    def _join_neighbours(self) -> None:
+        index = 0
+        ranges = self.table.ranges
+        while index + 1 < len(ranges):
+            lower, upper = ranges[index], ranges[index + 1]
+            if (
+                lower.owner == upper.owner
+                and self._is_settled(lower)
+                and self._is_settled(upper)
+            ):
+                joined = self.table.join(index)
+                joined.fence = 0
+                joined.next_order_at = _NEVER
+            else:
+                index += 1
+
+    def _is_settled(self, item: KeyRange) -> bool:
+        return (
+            item.phase is Phase.OWNED
+            and not item.pending
+            and item.confirmed
+            and item.target is None
+            and not item.failures
+            and item.hand_over is None
+            and item.serving_until > _NEVER
+        )
+
+    def _get_strange_hold_end(self) -> MonotonicSeconds:
+        return self.taken_over_at + self.times.autonomy_s + self.times.longest_hold_s
+
+    def _next_number(self) -> int:
+        self._numbers += 1
+        return self._numbers
--- /dev/null
+++ b/basilwick/core/ranges/table.py
@@ -0,0 +1,209 @@
+"""Table of the key ranges of one partitioned service."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from basilwick.core.types import MonotonicSeconds, ServerName
+
+__all__ = ["KEYS", "KeyRange", "Phase", "RangeTable", "StoredRange"]
+
+#: Number of keys of a partitioned service.
+KEYS = 65_536
+
+
+class Phase(StrEnum):
+    """Where a range stands on its way from one owner to the next."""
+
+    #: Nobody owns the range.
+    FREE = "free"
+    #: The owner holds the range, or is being granted it.
+    OWNED = "owned"
+    #: The owner is being granted the range with a higher fence, to shut out earlier
+    #: grants that are still under way.
+    RAISING = "raising"
+    #: The new owner is being stored.
+    STORING = "storing"
+    #: The former owner finishes its work on the range.
+    RELEASING = "releasing"
+    #: The former owner can't be reached; its grant has to run out.
+    EXPIRING = "expiring"
+
+
+@frozen
+class StoredRange:
+    """What the platform's service keeps of a range.
+
+    Attributes
+    ----------
+    first, last : int
+        Keys, both inclusive.
+    owner : str
+        Server that may hold the range; empty for none.
+    former : str
+        Server that may still hold it; empty for none.
+    """
+
+    first: int
+    last: int
+    owner: str = ""
+    former: str = ""
+
+
+@define(eq=False)
+class KeyRange:
+    """A range of keys and what is known of its grants.
+
+    Attributes
+    ----------
+    fence : int
+        Fence of the newest grant to the owner.
+    serving_until : float
+        Local time until which the owner surely holds the range.
+    held_until : float
+        Local time after which no grant of this range that was sent can be in force.
+    confirmed : bool
+        Whether the owner accepted a grant of this leader, so that it refuses the
+        grants of earlier leaders.
+    target : str or None
+        Next owner of a range that moves.
+    hand_over : str or None
+        Token by which the next owner starts warm.
+    pending : int
+        Number of the order that is under way, 0 for none.
+    failures : int
+        Orders without an answer since the last answer.
+    """
+
+    first: int
+    last: int
+    owner: ServerName | None = None
+    former: ServerName | None = None
+    fence: int = 0
+    phase: Phase = Phase.FREE
+    target: ServerName | None = None
+    hand_over: str | None = None
+    serving_until: MonotonicSeconds = float("-inf")
+    held_until: MonotonicSeconds = float("-inf")
+    next_order_at: MonotonicSeconds = float("-inf")
+    phase_since: MonotonicSeconds = float("-inf")
+    confirmed: bool = False
+    pending: int = 0
+    failures: int = 0
+
+    @property
+    def size(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+    def enter(self, phase: Phase, now: MonotonicSeconds) -> None:
+        """Go to a phase; its first order is due at once."""
+        self.phase = phase
+        self.phase_since = now
+        self.next_order_at = now
+        self.failures = 0
+        self.pending = 0
+
+    def split_at(self, key: int) -> KeyRange:
+        """Cut the range before a key; returns the upper part."""
+        upper = KeyRange(
+            key,
+            self.last,
+            self.owner,
+            self.former,
+            self.fence,
+            self.phase,
+            serving_until=self.serving_until,
+            held_until=self.held_until,
+            next_order_at=self.next_order_at,
+            phase_since=self.phase_since,
+            confirmed=self.confirmed,
+        )
+        self.last = key - 1
+        return upper
+
+
+@define(eq=False)
+class RangeTable:
+    """All ranges of a service, in order and without gaps."""
+
+    ranges: list[KeyRange] = field(factory=lambda: [KeyRange(0, KEYS - 1)])
+    _firsts: list[int] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._index()
+
+    @classmethod
+    def restore(cls, stored: Iterable[StoredRange]) -> RangeTable:
+        """Build a table from stored ranges; keys that they leave out are free."""
+        ranges = []
+        following = 0
+        for entry in sorted(stored, key=lambda entry: entry.first):
+            if entry.first < following or entry.last < entry.first:
+                raise ValueError(f"stored range {entry} overlaps another one")
+            if entry.first > following:
+                ranges.append(KeyRange(following, entry.first - 1))
+            ranges.append(
+                KeyRange(
+                    entry.first, entry.last, entry.owner or None, entry.former or None
+                )
+            )
+            following = entry.last + 1
+        if following < KEYS:
+            ranges.append(KeyRange(following, KEYS - 1))
+        return cls(ranges)
+
+    def list_stored(self) -> list[StoredRange]:
+        """Return the ranges in the form that is stored; equal neighbours are joined."""
+        stored: list[StoredRange] = []
+        for item in self.ranges:
+            entry = StoredRange(
+                item.first, item.last, item.owner or "", item.former or ""
+            )
+            last = stored[-1] if stored else None
+            if last and (last.owner, last.former) == (entry.owner, entry.former):
+                entry = StoredRange(last.first, entry.last, entry.owner, entry.former)
+                stored.pop()
+            stored.append(entry)
+        return stored
+
+    def find(self, key: int) -> KeyRange:
+        """Return the range of a key."""
+        return self.ranges[bisect_right(self._firsts, key) - 1]
+
+    def carve(self, first: int, last: int) -> KeyRange:
+        """Make a span of one range a range of its own, and return it."""
+        item = self.find(first)
+        if item.last < last:
+            raise ValueError(f"keys {first} to {last} lie in more than one range")
+        index = self.ranges.index(item)
+        if first > item.first:
+            item = item.split_at(first)
+            index += 1
+            self.ranges.insert(index, item)
+        if last < item.last:
+            self.ranges.insert(index + 1, item.split_at(last + 1))
+        self._index()
+        return item
+
+    def join(self, index: int) -> KeyRange:
+        """Join a range with the one after it, and return the whole."""
+        lower = self.ranges[index]
+        upper = self.ranges.pop(index + 1)
+        lower.last = upper.last
+        lower.fence = max(lower.fence, upper.fence)
+        lower.serving_until = min(lower.serving_until, upper.serving_until)
+        lower.held_until = max(lower.held_until, upper.held_until)
+        lower.confirmed = lower.confirmed and upper.confirmed
+        self._index()
+        return lower
+
+    def _index(self) -> None:
+        self._firsts = [item.first for item in self.ranges]
--- a/basilwick/core/types.py
+++ b/basilwick/core/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TypeAlias
 
 ServiceName: TypeAlias = str
@@ -26,3 +27,11 @@
 
 #: Identifies a block: its service and its index.
 BlockId: TypeAlias = tuple[ServiceName, BlockIndex]
+
+
+class Operation(StrEnum):
+    """How often an operation may run."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at-most-once"
+    UPLOAD = "upload"
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["UNKNOWN", "Metrics"]
+__all__ = ["UNKNOWN", "FleetMetrics", "Metrics"]
 
 #: Stands in for names that no record defines, which callers could invent at will.
 UNKNOWN = "unknown"
@@ -193,3 +193,38 @@
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
+
+
+class FleetMetrics:
+    """Metrics of an instance on the platform, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self._requests = Counter(
+            "basilwick_requests",
+            "Requests answered to callers by service and status.",
+            ("service", "status"),
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "basilwick_request_seconds",
+            "Time from the arrival of a request to its answer.",
+            ("service",),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.leading = Gauge(
+            "basilwick_leading",
+            "Whether this instance leads its site.",
+            registry=self.registry,
+        )
+
+    def observe_request(self, service: str, status: int, elapsed_s: float) -> None:
+        """Count an answered request."""
+        self._requests.labels(service, str(status)).inc()
+        self._seconds.labels(service).observe(elapsed_s)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/basilwick/platform/backends.py
@@ -0,0 +1,191 @@
+"""The HTTP fields and calls by which the platform's callers and servers speak."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from orjson import dumps
+
+from basilwick.transport.exchange import encode_headers, is_own_field
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from basilwick.core.ranges.control import GrantOrder, ReleaseOrder
+
+__all__ = [
+    "AnswerMarks",
+    "CallerMarks",
+    "encode_grant",
+    "encode_release",
+    "encode_request_head",
+    "read_answer_marks",
+    "read_caller_marks",
+]
+
+_REQUEST_ID = b"x-request-id"
+_DEADLINE = b"x-request-deadline-ms"
+_EXPECTED_INSTANCE = b"x-expected-instance"
+_KEY = b"x-shard-key"
+_NOT_RUN = b"x-not-executed"
+_LOAD = b"x-server-load"
+_WARM_UP = b"x-warmup-remaining-ms"
+_HAND_OVER = b"x-handover"
+_MS = 0.001
+_LARGEST_KEY = 65_535
+
+
+@frozen
+class CallerMarks:
+    """What a caller says of its request.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Identity of this attempt of the caller.
+    time_left_s : float or None
+        Seconds that the caller waits for the answer.
+    key : int
+        Key of a partitioned service, -1 without one.
+    """
+
+    request_id: bytes
+    time_left_s: float | None
+    key: int
+
+
+@frozen
+class AnswerMarks:
+    """What a server says of its answer.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Request that the answer belongs to, empty if it doesn't say.
+    not_run : bool
+        Whether the server states that it did not run the request.
+    slowness : float
+        Work time on its machine relative to the usual one, 0 if it doesn't say.
+    warm_up_left_s : float
+        Seconds for which it stays cold.
+    hand_over : str or None
+        Token by which the next owner of released keys starts warm.
+    """
+
+    request_id: bytes
+    not_run: bool
+    slowness: float
+    warm_up_left_s: float
+    hand_over: str | None
+
+
+def read_caller_marks(fields: Iterable[tuple[bytes, bytes]]) -> CallerMarks:
+    """Read the fields of a caller's request; unreadable ones count as absent."""
+    request_id = b""
+    time_left_s = None
+    key = -1
+    for name, value in fields:
+        lower = name.lower()
+        if lower == _REQUEST_ID:
+            request_id = value
+        elif lower == _DEADLINE:
+            time_left_s = _read_number(value, None)
+        elif lower == _KEY and value.isdigit() and int(value) <= _LARGEST_KEY:
+            key = int(value)
+    if time_left_s is not None:
+        time_left_s *= _MS
+    return CallerMarks(request_id, time_left_s, key)
+
+
+def read_answer_marks(fields: Iterable[tuple[bytes, bytes]]) -> AnswerMarks:
+    """Read the fields of a server's answer."""
+    values = {name.lower(): value for name, value in fields}
+    load = values.get(_LOAD, b"").split(b",")
+    slowness = _read_number(load[3], 0.0) / 100.0 if len(load) > 3 else 0.0
+    hand_over = values.get(_HAND_OVER)
+    return AnswerMarks(
+        values.get(_REQUEST_ID, b""),
+        _NOT_RUN in values,
+        slowness,
+        _read_number(values.get(_WARM_UP, b""), 0.0) * _MS,
+        None if hand_over is None else hand_over.decode("latin-1"),
+    )
+
+
+def encode_request_head(
+    method: str,
+    target: bytes,
+    host: bytes,
+    fields: Iterable[tuple[bytes, bytes]],
+    server: str,
+    time_left_s: float,
+    framing: bytes,
+) -> bytes:
+    """Return the head of a request to a server.
+
+    Parameters
+    ----------
+    fields : iterable of pairs of bytes
+        Header fields of the caller.
+    server : str
+        The only server that should run the request.
+    time_left_s : float
+        Seconds after which the answer is of no use.
+    framing : bytes
+        Encoded fields that give the length of the body.
+    """
+    passed = [
+        pair
+        for pair in fields
+        if not is_own_field(pair[0].lower())
+        and pair[0].lower() not in (_DEADLINE, _EXPECTED_INSTANCE)
+    ]
+    return b"".join(
+        (
+            method.encode(),
+            b" ",
+            target,
+            b" HTTP/1.1\r\nHost: ",
+            host,
+            b"\r\n",
+            encode_headers(passed),
+            b"X-Request-Deadline-Ms: %d\r\n" % max(1, int(time_left_s / _MS)),
+            b"X-Expected-Instance: ",
+            server.encode(),
+            b"\r\n",
+            framing,
+            b"\r\n",
+        )
+    )
+
+
+def encode_grant(order: GrantOrder, host: str) -> bytes:
+    """Return a whole grant request."""
+    body = {
+        "source": order.first,
+        "to": order.last,
+        "fence": order.fence,
+        "holdMs": round(order.hold_s / _MS),
+    }
+    if order.hand_over is not None:
+        body["handover"] = order.hand_over
+    return _encode_order("/grant", host, dumps(body))
+
+
+def encode_release(order: ReleaseOrder, host: str) -> bytes:
+    """Return a whole release request."""
+    body = {"source": order.first, "to": order.last, "fence": order.fence}
+    return _encode_order("/release", host, dumps(body))
+
+
+def _encode_order(path: str, host: str, body: bytes) -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json"
+    return head.encode() + b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def _read_number(value: bytes, default: float | None) -> float | None:
+    try:
+        return float(value)
+    except ValueError:
+        return default
--- /dev/null
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -0,0 +1,375 @@
+"""The way of a caller's request to a server and back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp.web import RequestPayloadError
+from attrs import define
+
+from basilwick.core.dispatch.messages import Ask, Done, Refused, SendOutcome
+from basilwick.core.dispatch.routes import RouteTable
+from basilwick.core.types import Operation
+from basilwick.logs import log_decision
+from basilwick.platform.backends import encode_request_head, read_caller_marks
+from basilwick.transport.bodies import RequestBody
+from basilwick.transport.exchange import Answer
+from basilwick.transport.http_server import RawResponse
+from basilwick.transport.server_client import SendFailure, ServerAnswer, ServerRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.web import BaseRequest
+
+    from basilwick.core.dispatch.messages import Send
+    from basilwick.core.dispatch.site import Route, SiteView
+    from basilwick.core.types import MonotonicSeconds
+    from basilwick.metrics import FleetMetrics
+    from basilwick.platform.backends import CallerMarks
+    from basilwick.runtime.fleet.desk import DispatchPort
+    from basilwick.runtime.fleet.routing_port import RoutingPort
+    from basilwick.transport.exchange import ByteStream
+    from basilwick.transport.server_client import ServerClient
+
+__all__ = ["CallerPath"]
+
+#: Largest body in bytes that is held whole; a larger one is passed on as it arrives.
+_HELD_BODY_BYTES = 1 << 20
+#: Largest body in bytes without a stated length.
+_UNSTATED_BODY_BYTES = 16 << 20
+#: Time in seconds kept back for the way of the answer to the caller.
+_ANSWER_MARGIN_S = 0.01
+#: Time in seconds after which a caller comes back to an instance that knows no
+#: configuration yet.
+_NO_CONFIGURATION_RETRY_S = 0.3
+_RAN_OUT = 504
+_LOST = 502
+_NOT_RUN = 503
+#: Part of a server's connections that one instance may open.
+_CONNECTION_SHARE = 4
+
+
+class _UnreadableBodyError(Exception):
+    """The caller's body can't be used; the status says why."""
+
+    def __init__(self, status: int):
+        super().__init__(status)
+        self.status = status
+
+
+@define(eq=False)
+class _Call:
+    """A caller's request on its way.
+
+    Attributes
+    ----------
+    deadline, target_at : float
+        Local times of the last useful answer and of the target latency.
+    may_have_run : bool
+        Whether a server may have run an earlier attempt.
+    sending : bool
+        Whether an attempt is at a server.
+    left : bool
+        Whether the caller has left.
+    """
+
+    raw: BaseRequest
+    marks: CallerMarks
+    route: Route
+    service: str
+    arrived_at: MonotonicSeconds
+    deadline: MonotonicSeconds
+    target_at: MonotonicSeconds
+    body: bytes | ByteStream = b""
+    framing: bytes = b""
+    attempts: int = 0
+    tried: tuple[str, ...] = ()
+    may_have_run: bool = False
+    sending: bool = False
+    left: bool = False
+    reason: str = ""
+
+    @property
+    def idempotent(self) -> bool:
+        return self.route.operation is Operation.IDEMPOTENT
+
+    @property
+    def repeatable(self) -> bool:
+        return isinstance(self.body, bytes)
+
+
+class CallerPath:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    view : SiteView
+        Routes and services.
+    port : RoutingPort
+        Decides where requests go.
+    client : ServerClient
+        Sends them.
+    """
+
+    def __init__(
+        self,
+        view: SiteView,
+        port: RoutingPort,
+        client: ServerClient,
+        clock: Callable[[], MonotonicSeconds],
+        metrics: FleetMetrics,
+    ):
+        self._view = view
+        self._port = port
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+        self._routes = RouteTable()
+        self._tasks: set[asyncio.Task[Answer]] = set()
+        #: Whether connections are closed with their next answer.
+        self.closing = False
+
+    async def handle(self, raw: BaseRequest) -> RawResponse:
+        """Answer a request."""
+        arrived_at = self._clock()
+        marks = read_caller_marks(raw.raw_headers)
+        answer = await self._answer(raw, marks, arrived_at)
+        response = RawResponse(raw, keep_alive=not self.closing)
+        if not raw.content.is_eof():
+            response.keep_alive = False
+        await response.send(answer)
+        return response
+
+    async def _answer(
+        self, raw: BaseRequest, marks: CallerMarks, arrived_at: MonotonicSeconds
+    ) -> Answer:
+        configuration = self._view.configuration
+        if configuration is None:
+            return _refuse(_NO_CONFIGURATION_RETRY_S)
+        if configuration.version != self._routes.version:
+            self._routes.load(configuration)
+        route = self._routes.find(raw.headers.get("Host", ""), raw.raw_path)
+        if route is None:
+            self._log_unrouted(raw, marks, configuration.version)
+            return Answer(404)
+        timeout_s = route.timeout_s
+        if marks.time_left_s is not None:
+            timeout_s = min(timeout_s, marks.time_left_s - _ANSWER_MARGIN_S)
+        call = _Call(
+            raw,
+            marks,
+            route,
+            self._routes.choose_service(route),
+            arrived_at,
+            arrived_at + timeout_s,
+            arrived_at + route.target_latency_s,
+        )
+        answer = await self._run(call)
+        self._note(call, answer)
+        return answer
+
+    async def _run(self, call: _Call) -> Answer:
+        """Route a request; the way goes on without a caller only at a server."""
+        task = asyncio.create_task(self._route(call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            call.left = True
+            if call.idempotent or not call.sending:
+                task.cancel()
+            raise
+
+    async def _route(self, call: _Call) -> Answer:
+        try:
+            async with asyncio.timeout(max(0.0, call.deadline - self._clock())):
+                await self._load_body(call)
+        except TimeoutError:
+            call.reason = "the body did not arrive in time"
+            return _refuse(0.1, close=True)
+        except _UnreadableBodyError as error:
+            call.reason = "the body is unreadable or too large"
+            return Answer(error.status, [(b"Connection", b"close")])
+        failed: ServerAnswer | None = None
+        while call.attempts < call.route.max_attempts and not call.left:
+            call.attempts += 1
+            decision, port = await self._port.decide(self._make_ask(call))
+            if isinstance(decision, Refused):
+                call.reason = decision.reason
+                if failed is not None:
+                    break
+                return self._give_up(call, decision.retry_after_s)
+            result = await self._send(call, decision, port)
+            if isinstance(result, ServerAnswer) and not _is_not_run(result):
+                if result.status < 500 or not call.idempotent:
+                    return _pass_on(result)
+                failed = result
+            elif isinstance(result, SendFailure):
+                call.reason = result.detail
+                call.may_have_run |= result.may_have_run
+                if result.outcome is SendOutcome.TIMEOUT:
+                    return Answer(_RAN_OUT)
+                if call.may_have_run and not call.idempotent:
+                    return Answer(_LOST)
+            else:
+                call.reason = "the server did not run the request"
+            if not call.repeatable:
+                break
+        if failed is not None:
+            return _pass_on(failed)
+        return self._give_up(call, 0.1)
+
+    def _give_up(self, call: _Call, retry_after_s: float) -> Answer:
+        """Return the answer to a request that is not sent any more."""
+        if call.may_have_run:
+            return Answer(_LOST)
+        return _refuse(retry_after_s)
+
+    def _make_ask(self, call: _Call) -> Ask:
+        now = self._clock()
+        return Ask(
+            0,
+            call.service,
+            call.marks.key,
+            call.route.priority,
+            call.target_at - now,
+            call.deadline - now,
+            call.attempts,
+            call.tried,
+            tuple(call.route.home_regions),
+        )
+
+    async def _send(
+        self, call: _Call, decision: Send, port: DispatchPort
+    ) -> ServerAnswer | SendFailure:
+        call.tried += (decision.server,)
+        call.sending = True
+        outcome = SendOutcome.WITHDRAWN
+        latency_s = slowness = 0.0
+        try:
+            result = await self._send_once(call, decision)
+            if isinstance(result, SendFailure):
+                outcome = result.outcome
+            else:
+                outcome = _classify(result)
+                latency_s = result.latency_s
+                slowness = result.marks.slowness
+                if result.marks.warm_up_left_s:
+                    self._view.warm_up(
+                        decision.server, result.marks.warm_up_left_s, self._clock()
+                    )
+            return result
+        finally:
+            call.sending = False
+            port.finish(Done(decision.number, outcome, latency_s, slowness))
+
+    async def _send_once(
+        self, call: _Call, decision: Send
+    ) -> ServerAnswer | SendFailure:
+        time_left_s = call.deadline - self._clock()
+        raw = call.raw
+        head = encode_request_head(
+            raw.method,
+            raw.raw_path.encode("utf-8", "surrogateescape"),
+            raw.headers.get("Host", "").encode("utf-8", "surrogateescape"),
+            raw.raw_headers,
+            decision.server,
+            time_left_s,
+            call.framing,
+        )
+        request = ServerRequest(
+            raw.method, head, call.body, call.marks.request_id, call.idempotent
+        )
+        spec = self._view.get_service(call.service)
+        connections = spec.max_connections // _CONNECTION_SHARE if spec else 0
+        return await self._client.send(
+            decision.address, request, max(0.0, time_left_s), max(2, connections)
+        )
+
+    async def _load_body(self, call: _Call) -> None:
+        raw = call.raw
+        if not raw.body_exists:
+            if raw.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+                call.framing = b"Content-Length: 0\r\n"
+            return
+        if raw.headers.get("Expect", "").lower() == "100-continue":
+            raw.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        length = raw.content_length
+        largest = self._view.configuration.limits.body_bytes
+        if length is not None and length > largest:
+            raise _UnreadableBodyError(413)
+        if length is not None and length > _HELD_BODY_BYTES:
+            call.body = RequestBody(raw.content, length, None, raw.transport)
+            call.framing = b"Content-Length: %d\r\n" % length
+            return
+        call.body = await _read_body(raw, min(largest, _UNSTATED_BODY_BYTES))
+        call.framing = b"Content-Length: %d\r\n" % len(call.body)
+
+    def _note(self, call: _Call, answer: Answer) -> None:
+        elapsed_s = self._clock() - call.arrived_at
+        self._metrics.observe_request(call.service, answer.status, elapsed_s)
+        log_decision(
+            "request answered",
+            request=call.marks.request_id.decode("latin-1"),
+            route=call.route.name,
+            service=call.service,
+            key=call.marks.key,
+            version=self._routes.version,
+            status=answer.status,
+            attempts=call.attempts,
+            servers=call.tried,
+            reason=call.reason,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+        )
+
+    def _log_unrouted(self, raw: BaseRequest, marks: CallerMarks, version: int) -> None:
+        log_decision(
+            "request has no route",
+            request=marks.request_id.decode("latin-1"),
+            host=raw.headers.get("Host", "")[:100],
+            path=raw.raw_path[:100],
+            version=version,
+            status=404,
+        )
+
+
+async def _read_body(raw: BaseRequest, largest: int) -> bytes:
+    parts = []
+    size = 0
+    try:
+        while True:
+            chunk = await raw.content.readany()
+            if not chunk:
+                return b"".join(parts)
+            parts.append(chunk)
+            size += len(chunk)
+            if size > largest:
+                raise _UnreadableBodyError(413)
+    except (RequestPayloadError, ConnectionError) as error:
+        raise _UnreadableBodyError(400) from error
+
+
+def _refuse(retry_after_s: float, close: bool = False) -> Answer:
+    fields = [(b"Retry-After", b"%.3f" % retry_after_s)]
+    if close:
+        fields.append((b"Connection", b"close"))
+    return Answer(_NOT_RUN, fields)
+
+
+def _is_not_run(answer: ServerAnswer) -> bool:
+    return answer.marks.not_run or answer.status == 421
+
+
+def _classify(answer: ServerAnswer) -> SendOutcome:
+    if answer.status == 421:
+        return SendOutcome.MISDIRECTED
+    if answer.marks.not_run:
+        return SendOutcome.SHED
+    return SendOutcome.FAILED if answer.status >= 500 else SendOutcome.OK
+
+
+def _pass_on(answer: ServerAnswer) -> Answer:
+    return Answer(answer.status, answer.fields, answer.body, answer.length)
--- /dev/null
+++ b/basilwick/runtime/fleet/desk.py
@@ -0,0 +1,136 @@
+"""Runs a dispatcher: takes asks, passes on decisions as they come."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Hashable, Iterable
+
+    from basilwick.core.dispatch.dispatcher import Decision, Dispatcher
+    from basilwick.core.dispatch.messages import Ask, Done
+    from basilwick.core.types import MonotonicSeconds
+
+__all__ = ["Desk", "DispatchPort", "PeerPort"]
+
+#: Interval in seconds at which waiting requests are looked at.
+_INTERVAL_S = 0.02
+
+
+class DispatchPort(Protocol):
+    """Where an instance asks for servers."""
+
+    def submit(self, ask: Ask, reply: Callable[[Decision | None], None]) -> None:
+        """Ask; the reply is None if the port was lost."""
+
+    def finish(self, done: Done) -> None:
+        """Report the end of a send."""
+
+    def cancel(self, number: int) -> None:
+        """Withdraw an ask."""
+
+
+class Desk:
+    """Connects a dispatcher with those who ask it.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decides.
+    clock : callable
+        Local clock in seconds.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, clock: Callable[[], MonotonicSeconds]):
+        self.dispatcher = dispatcher
+        self._clock = clock
+        self._replies: dict[Hashable, Callable[[Decision | None], None]] = {}
+        self._peers: dict[Hashable, set[Hashable]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to look at waiting requests."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop; those who wait get no decision."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        replies, self._replies = self._replies, {}
+        for reply in replies.values():
+            reply(None)
+
+    def submit(
+        self, peer: Hashable, ask: Ask, reply: Callable[[Decision | None], None]
+    ) -> None:
+        """Take an ask of a peer."""
+        ticket_id = (peer, ask.number)
+        self._peers.setdefault(peer, set()).add(ticket_id)
+        self._replies[ticket_id] = reply
+        decision = self.dispatcher.submit(ticket_id, ask, self._clock())
+        if decision is not None:
+            self._deliver([(ticket_id, decision)])
+
+    def finish(self, peer: Hashable, done: Done) -> None:
+        """Take the end of a peer's send."""
+        ticket_id = (peer, done.number)
+        self._peers.get(peer, set()).discard(ticket_id)
+        self._deliver(self.dispatcher.finish(ticket_id, done, self._clock()))
+
+    def cancel(self, peer: Hashable, number: int) -> None:
+        """Withdraw an ask or a send of a peer."""
+        ticket_id = (peer, number)
+        self._peers.get(peer, set()).discard(ticket_id)
+        self._replies.pop(ticket_id, None)
+        self._deliver(self.dispatcher.cancel(ticket_id, self._clock()))
+
+    def drop(self, peer: Hashable) -> None:
+        """Withdraw all asks and sends of a peer that is gone."""
+        for ticket_id in self._peers.pop(peer, set()):
+            self._replies.pop(ticket_id, None)
+            self._deliver(self.dispatcher.cancel(ticket_id, self._clock()))
+
+    def advance(self) -> None:
+        """Decide on waiting requests now."""
+        self._deliver(self.dispatcher.advance(self._clock()))
+
+    def _deliver(self, decisions: Iterable[tuple[Hashable, Decision]]) -> None:
+        for ticket_id, decision in decisions:
+            reply = self._replies.pop(ticket_id, None)
+            if reply is not None:
+                reply(decision)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(_INTERVAL_S)
+            self.advance()
+
+
+class PeerPort:
+    """A desk as one of its peers sees it.
+
+    Parameters
+    ----------
+    desk : Desk
+        Decides.
+    peer : hashable
+        Who asks.
+    """
+
+    def __init__(self, desk: Desk, peer: Hashable):
+        self.desk = desk
+        self._peer = peer
+
+    def submit(self, ask: Ask, reply: Callable[[Decision | None], None]) -> None:
+        """Ask."""
+        self.desk.submit(self._peer, ask, reply)
+
+    def finish(self, done: Done) -> None:
+        """Report the end of a send."""
+        self.desk.finish(self._peer, done)
+
+    def cancel(self, number: int) -> None:
+        """Withdraw an ask."""
+        self.desk.cancel(self._peer, number)
--- /dev/null
+++ b/basilwick/runtime/fleet/lead_role.py
@@ -0,0 +1,152 @@
+"""What an instance does while it leads its site."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from basilwick.core.dispatch.dispatcher import Dispatcher, KeyOwner
+from basilwick.core.errors import PlatformUnavailableError
+from basilwick.core.ranges.capacities import OwnerSelection
+from basilwick.runtime.fleet.desk import Desk
+from basilwick.runtime.fleet.range_keeper import DeposedError, RangeKeeper
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Hashable
+    from random import Random
+
+    from basilwick.core.deployment import Deployment
+    from basilwick.core.dispatch.dispatcher import Decision
+    from basilwick.core.dispatch.messages import Ask
+    from basilwick.core.dispatch.retry_window import RetryBounds
+    from basilwick.core.dispatch.site import SiteView
+    from basilwick.core.ranges.control import OwnerTimes
+    from basilwick.core.types import MonotonicSeconds, ServiceName
+    from basilwick.platform.store import Store
+    from basilwick.transport.server_client import ServerClient
+
+__all__ = ["LeadRole"]
+
+#: Interval in seconds between looks at orders that are due.
+_TICK_INTERVAL_S = 0.05
+#: Interval in seconds between plans of moves.
+_PLAN_INTERVAL_S = 0.4
+
+
+class _MeasuringDesk(Desk):
+    """Desk that also measures the load of each key."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Callable[[], MonotonicSeconds],
+        keepers: dict[ServiceName, RangeKeeper],
+    ):
+        super().__init__(dispatcher, clock)
+        self._keepers = keepers
+
+    def submit(
+        self, peer: Hashable, ask: Ask, reply: Callable[[Decision | None], None]
+    ) -> None:
+        keeper = self._keepers.get(ask.service)
+        if keeper is not None and ask.key >= 0 and ask.attempt == 1:
+            keeper.selection.load.record(ask.key, self._clock())
+        super().submit(peer, ask, reply)
+
+
+class LeadRole:
+    """Dispatcher of the whole site and keeper of all key ranges.
+
+    Parameters
+    ----------
+    authorized : callable
+        Whether orders may be sent now.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        view: SiteView,
+        store: Store,
+        client: ServerClient,
+        bounds: RetryBounds,
+        times: OwnerTimes,
+        clock: Callable[[], MonotonicSeconds],
+        rng: Random,
+        authorized: Callable[[], bool],
+    ):
+        self._view = view
+        self._store = store
+        self._client = client
+        self._times = times
+        self._clock = clock
+        self._authorized = authorized
+        self._keepers: dict[ServiceName, RangeKeeper] = {}
+        dispatcher = Dispatcher(view, self, bounds, deployment.regions, rng)
+        self.desk = _MeasuringDesk(dispatcher, clock, self._keepers)
+        self._task: asyncio.Task[None] | None = None
+        self.deposed = False
+
+    async def start(self) -> None:
+        """Begin to lead."""
+        await self.desk.start()
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop leading."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for keeper in self._keepers.values():
+            await keeper.close()
+        await self.desk.close()
+
+    def find_owner(
+        self, service: ServiceName, key: int, now: MonotonicSeconds
+    ) -> KeyOwner:
+        """Return the owner of a key."""
+        keeper = self._keepers.get(service)
+        if keeper is None or keeper.control is None:
+            return KeyOwner(None, moving=True)
+        return keeper.control.find_owner(service, key, now)
+
+    async def _run(self) -> None:
+        planned_at = self._clock()
+        while True:
+            await self._take_services()
+            for keeper in self._keepers.values():
+                keeper.tick()
+                self.deposed |= keeper.control.deposed
+            if self._clock() - planned_at >= _PLAN_INTERVAL_S:
+                planned_at = self._clock()
+                for keeper in self._keepers.values():
+                    keeper.plan()
+            await asyncio.sleep(_TICK_INTERVAL_S)
+
+    async def _take_services(self) -> None:
+        configuration = self._view.configuration
+        if configuration is None:
+            return
+        for spec in configuration.services.values():
+            if not spec.partitioned or spec.name in self._keepers:
+                continue
+            dispatcher = self.desk.dispatcher
+            keeper = RangeKeeper(
+                OwnerSelection(spec.name, self._view, dispatcher),
+                self._view,
+                self._store,
+                self._client,
+                self._times,
+                self._clock,
+                self._authorized,
+            )
+            try:
+                await keeper.start()
+            except (PlatformUnavailableError, DeposedError, ValueError) as error:
+                logger.bind(service=spec.name, reason=str(error)).warning(
+                    "could not take over the ranges of a service"
+                )
+                continue
+            self._keepers[spec.name] = keeper
--- /dev/null
+++ b/basilwick/runtime/fleet/leadership.py
@@ -0,0 +1,281 @@
+"""Which instance leads the site.
+
+The leader is named by a key of the platform's service that ends with a lease. It saves
+work; ownership of keys stays correct with two leaders at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import frozen
+from loguru import logger
+from orjson import JSONDecodeError, dumps, loads
+
+from basilwick.core.errors import PlatformUnavailableError
+from basilwick.core.ranges.table import RangeTable
+from basilwick.platform.store import WriteResult
+from basilwick.runtime.fleet.range_keeper import (
+    OWN_PREFIX,
+    decode_ranges,
+    get_ranges_key,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from basilwick.core.types import MonotonicSeconds, ServiceName
+    from basilwick.platform.store import Change, Store
+    from basilwick.runtime.fleet.links import LeaderLink
+
+__all__ = ["LeaderRecord", "Leadership", "SharedState"]
+
+_LEADER_KEY = f"{OWN_PREFIX}leader"
+_RANGES_PREFIX = get_ranges_key("")
+#: Time in seconds after which the record of a silent leader ends.
+_LEASE_S = 2.0
+#: Interval in seconds between renewals of the leader's lease.
+_RENEWAL_S = 0.5
+#: Interval in seconds between looks at who leads.
+_INTERVAL_S = 0.1
+#: Longest random delay in seconds before an instance tries to lead.
+_SPREAD_S = 0.25
+#: Time in seconds after which an instance that can't reach the leader reads its record.
+_CHECK_AFTER_S = 0.6
+
+
+@frozen
+class LeaderRecord:
+    """Instance that leads, and where it takes links."""
+
+    instance: str
+    address: str
+    revision: int
+
+
+class SharedState:
+    """What the instances keep in the platform's service, as last heard."""
+
+    prefix = OWN_PREFIX
+
+    def __init__(self) -> None:
+        self.leader: LeaderRecord | None = None
+        self.tables: dict[ServiceName, RangeTable] = {}
+
+    def apply(self, change: Change) -> None:
+        """Take a change of an own item."""
+        if change.key == _LEADER_KEY:
+            self._apply_leader(change)
+        elif change.key.startswith(_RANGES_PREFIX) and change.value is not None:
+            service = change.key.removeprefix(_RANGES_PREFIX)
+            try:
+                _, stored = decode_ranges(change.value)
+                self.tables[service] = RangeTable.restore(stored)
+            except ValueError as error:
+                logger.bind(key=change.key, reason=str(error)).warning(
+                    "passed over unreadable ranges"
+                )
+
+    def keep(self, keys: set[str]) -> None:
+        """Drop the own items that a whole list doesn't name."""
+        if _LEADER_KEY not in keys:
+            self.leader = None
+
+    def _apply_leader(self, change: Change) -> None:
+        if self.leader is not None and change.revision < self.leader.revision:
+            return
+        self.leader = None
+        if change.value is None:
+            return
+        try:
+            data = loads(change.value)
+            self.leader = LeaderRecord(
+                data["instance"], data["address"], change.revision
+            )
+        except (JSONDecodeError, KeyError, TypeError) as error:
+            logger.bind(reason=repr(error)).warning("unreadable leader record")
+
+
+class Leadership:
+    """Takes part in the choice of the leader.
+
+    Parameters
+    ----------
+    instance, address : str
+        Name of this instance and where it takes links.
+    begin, end : callable
+        Called when this instance begins or ceases to lead.
+    link : LeaderLink
+        Link to the leader.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        store: Store,
+        state: SharedState,
+        link: LeaderLink,
+        begin: Callable[[], Awaitable[None]],
+        end: Callable[[], Awaitable[None]],
+        clock: Callable[[], MonotonicSeconds],
+        rng: Random,
+    ):
+        self._instance = instance
+        self._address = address
+        self._store = store
+        self._state = state
+        self._link = link
+        self._begin = begin
+        self._end = end
+        self._clock = clock
+        self._rng = rng
+        self._lease = 0
+        self._revision = 0
+        self._task: asyncio.Task[None] | None = None
+        self._retiring = False
+        self.leading = False
+        #: Local time at which the last successful renewal was sent.
+        self.confirmed_at: MonotonicSeconds = float("-inf")
+
+    async def start(self) -> None:
+        """Begin to look at who leads."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop; a leader gives its record up."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self.leading:
+            await self._resign("stopping")
+
+    async def retire(self) -> None:
+        """Give the leadership up, and take it no more."""
+        self._retiring = True
+        if self.leading:
+            await self._resign("stopping")
+
+    async def step_down(self, reason: str) -> None:
+        """Cease to lead."""
+        if self.leading:
+            await self._resign(reason)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                if self.leading:
+                    await self._renew()
+                    await asyncio.sleep(_RENEWAL_S)
+                    continue
+                await self._follow()
+            except PlatformUnavailableError as error:
+                logger.bind(reason=str(error)).debug("leader record not reached")
+            await asyncio.sleep(_INTERVAL_S)
+
+    async def _follow(self) -> None:
+        leader = self._state.leader
+        own = leader is not None and leader.instance == self._instance
+        self._link.follow(None if leader is None or own else leader.address)
+        if self._retiring or self._link.alive:
+            return
+        if leader is None or own:
+            await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
+            if self._state.leader is leader:
+                await self._try_to_lead(leader)
+        elif self._link.refused:
+            # The process is gone, though its lease has not ended yet.
+            await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
+            if self._state.leader is leader and self._link.refused:
+                await self._try_to_lead(leader)
+        elif self._link.silent_s > _CHECK_AFTER_S:
+            await self._read_record()
+            await asyncio.sleep(_CHECK_AFTER_S * self._rng.uniform(0.5, 1.0))
+
+    async def _read_record(self) -> None:
+        item = await self._store.get(_LEADER_KEY, "read leader")
+        if item is None:
+            self._state.leader = None
+
+    async def _try_to_lead(self, former: LeaderRecord | None) -> None:
+        sent_at = self._clock()
+        value = dumps({"instance": self._instance, "address": self._address})
+        lease = await self._store.create_lease(_LEASE_S, "lead")
+        revision = 0 if former is None else former.revision
+        try:
+            result, revision = await self._store.write(
+                _LEADER_KEY, value, revision, "lead", lease
+            )
+        except PlatformUnavailableError:
+            item = await self._store.get(_LEADER_KEY, "read leader")
+            if item is None or item.value != value:
+                raise
+            result, revision = WriteResult.DONE, item.revision
+        if result is not WriteResult.DONE:
+            await self._learn_leader()
+            return
+        self._lease, self._revision = lease, revision
+        self.confirmed_at = sent_at
+        self._state.leader = LeaderRecord(self._instance, self._address, revision)
+        self._link.follow(None)
+        self.leading = True
+        logger.bind(revision=revision, former=former and former.instance).info(
+            "leading the site"
+        )
+        await self._begin()
+
+    async def _learn_leader(self) -> None:
+        item = await self._store.get(_LEADER_KEY, "read leader")
+        if item is None:
+            self._state.leader = None
+            return
+        data = loads(item.value)
+        self._state.leader = LeaderRecord(
+            data["instance"], data["address"], item.revision
+        )
+
+    async def _renew(self) -> None:
+        leader = self._state.leader
+        if leader is not None and leader.instance != self._instance:
+            await self._resign(f"{leader.instance} leads")
+            return
+        sent_at = self._clock()
+        if await self._store.renew_lease(self._lease, "renew leader"):
+            self.confirmed_at = sent_at
+            return
+        # The lease has ended; whoever writes the record first leads.
+        await self._learn_leader()
+        leader = self._state.leader
+        if leader is not None and leader.instance != self._instance:
+            await self._resign(f"{leader.instance} leads")
+            return
+        await self._take_record_again(leader)
+
+    async def _take_record_again(self, leader: LeaderRecord | None) -> None:
+        sent_at = self._clock()
+        value = dumps({"instance": self._instance, "address": self._address})
+        lease = await self._store.create_lease(_LEASE_S, "lead")
+        result, revision = await self._store.write(
+            _LEADER_KEY, value, leader.revision if leader else 0, "lead", lease
+        )
+        if result is not WriteResult.DONE:
+            await self._resign("another instance wrote the record")
+            return
+        self._lease, self._revision = lease, revision
+        self._state.leader = LeaderRecord(self._instance, self._address, revision)
+        self.confirmed_at = sent_at
+
+    async def _resign(self, reason: str) -> None:
+        self.leading = False
+        logger.bind(reason=reason).warning("no longer leading the site")
+        await self._end()
+        leader = self._state.leader
+        if leader is None or leader.instance != self._instance:
+            return
+        self._state.leader = None
+        try:
+            await self._store.remove(_LEADER_KEY, self._revision, "resign")
+        except PlatformUnavailableError as error:
+            logger.bind(reason=str(error)).info("leader record left to its lease")
--- /dev/null
+++ b/basilwick/runtime/fleet/links.py
@@ -0,0 +1,250 @@
+"""Links of an instance: to the leader, and from the others while it leads."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from basilwick.core.dispatch.messages import (
+    Ask,
+    Beat,
+    Cancel,
+    Done,
+    Hello,
+    Refused,
+    Send,
+)
+from basilwick.transport.link import Link, connect_link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from basilwick.core.dispatch.dispatcher import Decision
+    from basilwick.core.dispatch.messages import LinkMessage
+    from basilwick.core.types import MonotonicSeconds
+    from basilwick.runtime.fleet.desk import Desk
+
+__all__ = ["LeaderLink", "LinkListener"]
+
+#: Interval in seconds between the leader's signs of life.
+BEAT_INTERVAL_S = 0.1
+#: A leader that sent nothing for this long, in seconds, is not asked.
+_SILENT_AFTER_S = 0.35
+#: A link that carried nothing for this long, in seconds, is opened anew.
+_DEAD_AFTER_S = 1.0
+#: Interval in seconds between attempts to reach the leader.
+_RETRY_INTERVAL_S = 0.1
+
+
+class LinkListener:
+    """Takes the links of other instances and answers them while this one leads.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    """
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._server: asyncio.Server | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._links: set[Link] = set()
+        self._desk: Desk | None = None
+
+    @property
+    def instances(self) -> int:
+        """Number of linked instances, with this one."""
+        return len(self._links) + 1
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Link(self._take, self._drop), self._host, self._port
+        )
+        self._task = asyncio.create_task(self._beat())
+
+    async def close(self) -> None:
+        """Close all links."""
+        self.lead(None)
+        if self._server is not None:
+            self._server.close()
+        if self._task is not None:
+            self._task.cancel()
+
+    def lead(self, desk: Desk | None) -> None:
+        """Answer with a desk, or with none any more."""
+        self._desk = desk
+        if desk is None:
+            for link in list(self._links):
+                link.close()
+
+    def _take(self, link: Link, message: LinkMessage) -> None:
+        desk = self._desk
+        if desk is None:
+            link.close()
+            return
+        if isinstance(message, Ask):
+            desk.submit(link, message, partial(_reply, link))
+        elif isinstance(message, Done):
+            desk.finish(link, message)
+        elif isinstance(message, Cancel):
+            desk.cancel(link, message.number)
+        elif isinstance(message, Hello):
+            link.peer = message
+            self._links.add(link)
+            link.send(Beat(self.instances))
+            logger.bind(peer=message.instance).info("instance linked")
+
+    def _drop(self, link: Link) -> None:
+        self._links.discard(link)
+        if self._desk is not None:
+            self._desk.drop(link)
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_INTERVAL_S)
+            for link in list(self._links):
+                link.send(Beat(self.instances))
+
+
+def _reply(link: Link, decision: Decision | None) -> None:
+    if decision is not None:
+        link.send(decision)
+
+
+class LeaderLink:
+    """Link to the present leader.
+
+    Parameters
+    ----------
+    hello : Hello
+        Introduces this instance.
+    clock : callable
+        Local clock in seconds.
+    """
+
+    def __init__(self, hello: Hello, clock: Callable[[], MonotonicSeconds]):
+        self._hello = hello
+        self._clock = clock
+        self._address: str | None = None
+        self._link: Link | None = None
+        self._heard_at: MonotonicSeconds = float("-inf")
+        self._replies: dict[int, Callable[[Decision | None], None]] = {}
+        self._task: asyncio.Task[None] | None = None
+        #: Number of instances that the leader last told.
+        self.instances = 1
+        #: Whether the leader's address refused the last connection.
+        self.refused = False
+
+    @property
+    def alive(self) -> bool:
+        """Whether the leader was heard lately."""
+        return (
+            self._link is not None and self._clock() - self._heard_at < _SILENT_AFTER_S
+        )
+
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the leader was heard."""
+        return self._clock() - self._heard_at
+
+    async def start(self) -> None:
+        """Begin to keep a link to the leader."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Close the link."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._link is not None:
+            self._link.close()
+
+    def follow(self, address: str | None) -> None:
+        """Keep a link to another leader, or to none."""
+        if address == self._address:
+            return
+        self._address = address
+        self.refused = False
+        if self._link is not None:
+            self._link.close()
+
+    def submit(self, ask: Ask, reply: Callable[[Decision | None], None]) -> None:
+        """Ask the leader."""
+        if self._link is None:
+            reply(None)
+            return
+        self._replies[ask.number] = reply
+        self._link.send(ask)
+
+    def finish(self, done: Done) -> None:
+        """Report the end of a send."""
+        if self._link is not None:
+            self._link.send(done)
+
+    def cancel(self, number: int) -> None:
+        """Withdraw an ask."""
+        self._replies.pop(number, None)
+        if self._link is not None:
+            self._link.send(Cancel(number))
+
+    def _take(self, link: Link, message: LinkMessage) -> None:
+        if link is not self._link:
+            return
+        self._heard_at = self._clock()
+        if isinstance(message, Beat):
+            self.instances = message.instances
+        elif isinstance(message, Send | Refused):
+            reply = self._replies.pop(message.number, None)
+            if reply is None:
+                link.send(Cancel(message.number))
+            else:
+                reply(message)
+
+    def _drop(self, link: Link) -> None:
+        if link is not self._link:
+            return
+        self._link = None
+        logger.bind(dependency="leader", address=self._address).warning(
+            "lost the link to the leader"
+        )
+        self._fail_waiting()
+
+    def _fail_waiting(self) -> None:
+        replies, self._replies = self._replies, {}
+        for reply in replies.values():
+            reply(None)
+
+    async def _run(self) -> None:
+        while True:
+            if self._link is None and self._address is not None:
+                await self._connect(self._address)
+            elif self._link is not None and self._replies and not self.alive:
+                # Those who wait decide by themselves while the leader is silent.
+                self._fail_waiting()
+            if self._link is not None and self.silent_s > _DEAD_AFTER_S:
+                self._link.close()
+            await asyncio.sleep(_RETRY_INTERVAL_S)
+
+    async def _connect(self, address: str) -> None:
+        try:
+            link = await connect_link(address, self._take, self._drop)
+        except ConnectionRefusedError:
+            self.refused = True
+            return
+        except OSError:
+            self.refused = False
+            return
+        if address != self._address:
+            link.close()
+            return
+        self.refused = False
+        self._link = link
+        self._heard_at = self._clock()
+        link.send(self._hello)
+        logger.bind(dependency="leader", address=address).info("linked to the leader")
--- /dev/null
+++ b/basilwick/runtime/fleet/member.py
@@ -0,0 +1,219 @@
+"""One instance of a site on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from signal import SIGHUP
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from basilwick.core.dispatch.dispatcher import Dispatcher, Share
+from basilwick.core.dispatch.messages import Hello
+from basilwick.core.dispatch.retry_window import RetryBounds
+from basilwick.core.dispatch.site import SiteView
+from basilwick.core.ranges.control import OwnerTimes
+from basilwick.metrics import FleetMetrics
+from basilwick.platform.backends import read_answer_marks
+from basilwick.platform.store import Store
+from basilwick.runtime.fleet.caller_path import CallerPath
+from basilwick.runtime.fleet.clock import read_clock
+from basilwick.runtime.fleet.desk import Desk
+from basilwick.runtime.fleet.lead_role import LeadRole
+from basilwick.runtime.fleet.leadership import Leadership, SharedState
+from basilwick.runtime.fleet.links import LeaderLink, LinkListener
+from basilwick.runtime.fleet.routing_port import RoutingPort, StoredOwners
+from basilwick.runtime.fleet.site_watch import SiteWatch
+from basilwick.transport.exchange import Answer
+from basilwick.transport.http_server import HttpServer, RawResponse
+from basilwick.transport.server_client import ServerClient
+
+if TYPE_CHECKING:
+    from aiohttp.web import BaseRequest
+
+    from basilwick.core.deployment import Deployment
+
+__all__ = ["Member"]
+
+#: Share of the bound of additional sends that the leader uses; the rest covers the
+#: instances that can't reach it.
+_LEADER_RATIO = 0.7
+_LEADER_SLACK = 0.4
+#: The same for an instance that decides by itself.
+_ALONE_RATIO = 0.1
+_ALONE_SLACK = 0.02
+#: Interval in seconds at which gone servers are forgotten.
+_EXPIRE_INTERVAL_S = 0.1
+#: Time in seconds for which a stopping instance still takes new connections, because
+#: callers are sent to it until it was found not ready twice.
+_LEAVE_S = 2.4
+#: Time in seconds before the end of the stop at which running requests are given up.
+_STOP_MARGIN_S = 0.5
+#: Longest request line and header field in bytes.
+_MAX_FIELD_BYTES = 16_384
+#: Time in seconds after which an idle caller's connection is closed.
+_IDLE_S = 15.0
+
+
+class Member:
+    """Listens for callers and takes part in the site.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where the instance runs.
+    """
+
+    def __init__(self, deployment: Deployment):
+        self._deployment = deployment
+        bounds = deployment.bounds
+        rng = Random()
+        self.metrics = FleetMetrics()
+        self._view = SiteView()
+        self._state = SharedState()
+        self._store = Store(deployment.platform_address, self.metrics.registry)
+        self._client = ServerClient(read_clock, read_answer_marks)
+        self._watch = SiteWatch(self._store, self._view, self._state, read_clock, rng)
+        self._listener = LinkListener(deployment.link_address)
+        hello = Hello(deployment.instance, deployment.data_centre)
+        self._link = LeaderLink(hello, read_clock)
+        self._rng = rng
+        fallback = Dispatcher(
+            self._view,
+            StoredOwners(self._state),
+            self._bound_retries(_ALONE_RATIO, _ALONE_SLACK),
+            deployment.regions,
+            rng,
+            Share(slots=1),
+        )
+        self._fallback = Desk(fallback, read_clock)
+        self._port = RoutingPort(self._link, self._fallback)
+        self._path = CallerPath(
+            self._view, self._port, self._client, read_clock, self.metrics
+        )
+        self._times = OwnerTimes()
+        if bounds.longest_hold_s < self._times.hold_s:
+            self._times = OwnerTimes(hold_s=bounds.longest_hold_s)
+        self._leadership = Leadership(
+            deployment.instance,
+            deployment.link_address,
+            self._store,
+            self._state,
+            self._link,
+            self._begin_to_lead,
+            self._cease_to_lead,
+            read_clock,
+            rng,
+        )
+        self._role: LeadRole | None = None
+        self._callers = HttpServer(
+            deployment.caller_address, self._path.handle, _IDLE_S, _MAX_FIELD_BYTES
+        )
+        self._ready = HttpServer(deployment.ready_address, self._tell_ready)
+        self._admin = HttpServer(deployment.metrics_address, self._tell_metrics)
+        self._task: asyncio.Task[None] | None = None
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Listen and join the site."""
+        asyncio.get_running_loop().add_signal_handler(SIGHUP, self._note_reload)
+        await self._store.start()
+        await self._listener.start()
+        await self._callers.start()
+        await self._ready.start()
+        await self._admin.start()
+        await self._watch.start()
+        await self._link.start()
+        await self._fallback.start()
+        await self._leadership.start()
+        self._task = asyncio.create_task(self._expire())
+        logger.bind(
+            instance=self._deployment.instance,
+            data_centre=self._deployment.data_centre,
+        ).info("instance started")
+
+    async def close(self) -> None:
+        """Leave the site, finish what runs, and close all connections."""
+        logger.bind(instance=self._deployment.instance).info("instance stopping")
+        self._stopping = True
+        self._path.closing = True
+        stop_s = self._deployment.bounds.stop_s
+        leave_s = min(_LEAVE_S, stop_s / 2)
+        await self._leadership.retire()
+        await asyncio.sleep(leave_s)
+        self._callers.stop_accepting()
+        await self._callers.wait_idle(max(0.0, stop_s - leave_s - _STOP_MARGIN_S))
+        await self._leadership.close()
+        await self._watch.close()
+        await self._link.close()
+        await self._fallback.close()
+        await self._listener.close()
+        for server in (self._callers, self._ready, self._admin):
+            await server.close()
+        await self._client.close()
+        await self._store.close()
+        logger.bind(instance=self._deployment.instance).info("instance stopped")
+
+    def _bound_retries(self, ratio: float, slack: float) -> RetryBounds:
+        bounds = self._deployment.bounds
+        return RetryBounds(
+            bounds.retry_ratio * ratio,
+            bounds.retry_slack * slack,
+            bounds.retry_window_s,
+        )
+
+    async def _begin_to_lead(self) -> None:
+        self._role = LeadRole(
+            self._deployment,
+            self._view,
+            self._store,
+            self._client,
+            self._bound_retries(_LEADER_RATIO, _LEADER_SLACK),
+            self._times,
+            read_clock,
+            self._rng,
+            self._may_order,
+        )
+        await self._role.start()
+        self._port.lead(self._role.desk)
+        self._listener.lead(self._role.desk)
+        self.metrics.leading.set(1)
+
+    async def _cease_to_lead(self) -> None:
+        self._port.lead(None)
+        self._listener.lead(None)
+        self.metrics.leading.set(0)
+        if self._role is not None:
+            await self._role.close()
+            self._role = None
+
+    def _may_order(self) -> bool:
+        age_s = read_clock() - self._leadership.confirmed_at
+        return self._leadership.leading and age_s < self._times.autonomy_s
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRE_INTERVAL_S)
+            for server in self._view.expire(read_clock()):
+                self._client.forget(server.address)
+                self._fallback.dispatcher.forget_server(server.name)
+            if self._role is not None and self._role.deposed:
+                await self._leadership.step_down("servers follow another leader")
+
+    def _note_reload(self) -> None:
+        logger.bind(instance=self._deployment.instance).info(
+            "settings changed; none of them can be applied without a restart"
+        )
+
+    async def _tell_ready(self, raw: BaseRequest) -> RawResponse:
+        ready = not self._stopping and self._view.configuration is not None
+        response = RawResponse(raw)
+        await response.send(Answer(200 if ready else 503))
+        return response
+
+    async def _tell_metrics(self, raw: BaseRequest) -> RawResponse:
+        response = RawResponse(raw)
+        fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await response.send(Answer(200, fields, self.metrics.render()))
+        return response
--- /dev/null
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -0,0 +1,279 @@
+"""Carries out the ownership decisions of one service: orders and storing."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+from orjson import JSONDecodeError, dumps, loads
+
+from basilwick.core.errors import PlatformUnavailableError
+from basilwick.core.ranges.control import (
+    FenceBlock,
+    GrantOrder,
+    OrderResult,
+    RangeControl,
+)
+from basilwick.core.ranges.table import RangeTable, StoredRange
+from basilwick.platform.backends import encode_grant, encode_release
+from basilwick.platform.store import WriteResult
+from basilwick.transport.server_client import SendFailure, ServerRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from basilwick.core.dispatch.site import SiteView
+    from basilwick.core.ranges.capacities import OwnerSelection
+    from basilwick.core.ranges.control import Order, OwnerTimes
+    from basilwick.core.types import MonotonicSeconds
+    from basilwick.platform.store import Store
+    from basilwick.transport.server_client import ServerClient
+
+__all__ = ["DeposedError", "RangeKeeper", "decode_ranges", "get_ranges_key"]
+
+#: Own items of the instances in the platform's service.
+OWN_PREFIX = "basilwick/"
+#: Fences that a leader reserves at a time.
+_FENCES = 100_000
+#: Longest wait in seconds for the answer to a release: work that runs ends first.
+_RELEASE_TIMEOUT_S = 3.0
+#: Pause in seconds after a call to the platform failed.
+_STORE_PAUSE_S = 0.2
+#: Connections to one server that carry orders.
+_ORDER_CONNECTIONS = 16
+
+
+class DeposedError(Exception):
+    """Another leader has stored the ownership meanwhile."""
+
+
+def get_ranges_key(service: str) -> str:
+    """Return the key under which a service's ranges are stored."""
+    return f"{OWN_PREFIX}ranges/{service}"
+
+
+def decode_ranges(value: bytes) -> tuple[int, list[StoredRange]]:
+    """Return the bound of the reserved fences and the ranges.
+
+    Raises
+    ------
+    ValueError
+        If the value is unreadable.
+    """
+    try:
+        data = loads(value)
+        return int(data["reserved"]), [StoredRange(*row) for row in data["ranges"]]
+    except (JSONDecodeError, KeyError, TypeError) as error:
+        raise ValueError(f"stored ranges {value[:100]!r}: {error!r}") from error
+
+
+class RangeKeeper:
+    """Owner of the ranges of one service while this instance leads.
+
+    Parameters
+    ----------
+    selection : OwnerSelection
+        Chooses owners.
+    authorized : callable
+        Whether this instance may send orders now.
+    """
+
+    def __init__(
+        self,
+        selection: OwnerSelection,
+        view: SiteView,
+        store: Store,
+        client: ServerClient,
+        times: OwnerTimes,
+        clock: Callable[[], MonotonicSeconds],
+        authorized: Callable[[], bool],
+    ):
+        self.selection = selection
+        self.service = selection.service
+        self._view = view
+        self._store = store
+        self._client = client
+        self._times = times
+        self._clock = clock
+        self._authorized = authorized
+        self._key = get_ranges_key(self.service)
+        self._revision = 0
+        self._reserved = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._lives: dict[str, int] = {}
+        self.control: RangeControl | None = None
+
+    async def start(self) -> None:
+        """Read the stored ranges and reserve fences.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the platform's service doesn't answer.
+        DeposedError
+            If another instance wrote at the same time.
+        """
+        taken_over_at = self._clock()
+        item = await self._store.get(self._key, "read ranges")
+        reserved, stored = 0, []
+        if item is not None:
+            reserved, stored = decode_ranges(item.value)
+            self._revision = item.revision
+        self._reserved = reserved + _FENCES
+        await self._save(stored)
+        fences = FenceBlock(max(1, reserved), self._reserved)
+        table = RangeTable.restore(stored)
+        self.control = RangeControl(
+            self.service,
+            table,
+            fences,
+            self._times,
+            self.selection,
+            taken_over_at,
+        )
+        logger.bind(
+            service=self.service,
+            ranges=len(table.ranges),
+            fence=fences.following,
+            revision=self._revision,
+        ).info("took over the ranges of a service")
+
+    async def close(self) -> None:
+        """Stop sending orders."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def tick(self) -> None:
+        """Send the orders that are due, and store what changed."""
+        control = self.control
+        now = self._clock()
+        if not self._authorized():
+            return
+        self._note_restarts(now)
+        owners = self.selection.list_owners(now)
+        control.assign_free(owners, now)
+        for order in control.tick(now):
+            self._spawn(self._send(order))
+        stored = control.take_unstored()
+        if stored is not None:
+            self._spawn(self._store_ranges(stored))
+
+    def plan(self) -> None:
+        """Begin the moves that even out the load."""
+        now = self._clock()
+        moves = self.selection.plan(self.control.table, now)
+        begun = self.control.move(moves, now)
+        for move in moves[:begun]:
+            logger.bind(
+                service=self.service,
+                first=move.first,
+                last=move.last,
+                target=move.target,
+            ).info("moving keys")
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _note_restarts(self, now: MonotonicSeconds) -> None:
+        for item in list(self.control.table.ranges):
+            server = item.owner and self._view.get_server(item.owner)
+            if not server:
+                continue
+            known = self._lives.setdefault(server.name, server.started_ms)
+            if known != server.started_ms:
+                self._lives[server.name] = server.started_ms
+                logger.bind(server=server.name).info("server started anew")
+                self.control.note_restarted(server.name, now)
+
+    async def _store_ranges(self, stored: list[StoredRange]) -> None:
+        try:
+            await self._save(stored)
+        except PlatformUnavailableError as error:
+            logger.bind(service=self.service, reason=str(error)).warning(
+                "could not store the ranges"
+            )
+            await asyncio.sleep(_STORE_PAUSE_S)
+            self.control.note_stored(False, self._clock())
+        except DeposedError as error:
+            logger.bind(service=self.service, reason=str(error)).warning(
+                "another instance stored the ranges"
+            )
+            self.control.deposed = True
+        else:
+            self.control.note_stored(True, self._clock())
+            self.tick()
+
+    async def _save(self, stored: list[StoredRange]) -> None:
+        rows = [[r.first, r.last, r.owner, r.former] for r in stored]
+        value = dumps({"reserved": self._reserved, "ranges": rows})
+        try:
+            result, revision = await self._store.write(
+                self._key, value, self._revision, "store ranges"
+            )
+        except PlatformUnavailableError:
+            # The write may have taken effect.
+            item = await self._store.get(self._key, "check stored ranges")
+            if item is None or item.value != value:
+                raise
+            result, revision = WriteResult.DONE, item.revision
+        if result is not WriteResult.DONE:
+            # An earlier write of this instance may have taken effect late.
+            item = await self._store.get(self._key, "check stored ranges")
+            if item is None or item.value != value:
+                raise DeposedError(f"{self._key} is not at revision {self._revision}")
+            revision = item.revision
+        self._revision = revision
+
+    async def _send(self, order: Order) -> None:
+        server = self._view.get_server(order.server)
+        if server is None:
+            answer = None
+        elif isinstance(order, GrantOrder):
+            head = encode_grant(order, server.address)
+            answer = await self._call(server.address, head, self._times.order_timeout_s)
+        else:
+            head = encode_release(order, server.address)
+            answer = await self._call(server.address, head, _RELEASE_TIMEOUT_S)
+        result, hand_over = _interpret(answer)
+        now = self._clock()
+        if result is not OrderResult.OK:
+            logger.bind(
+                service=self.service,
+                server=order.server,
+                order=type(order).__name__,
+                first=order.first,
+                last=order.last,
+                fence=order.fence,
+                result=result.value,
+            ).warning("order without effect")
+        if isinstance(order, GrantOrder):
+            self.control.note_granted(order, result, now)
+        else:
+            self.control.note_released(order, result, hand_over, now)
+        self._send_next()
+
+    def _send_next(self) -> None:
+        if self._authorized():
+            for order in self.control.tick(self._clock()):
+                self._spawn(self._send(order))
+
+    async def _call(self, address: str, data: bytes, timeout_s: float) -> object:
+        request = ServerRequest("POST", data, b"", b"", idempotent=True)
+        return await self._client.send(address, request, timeout_s, _ORDER_CONNECTIONS)
+
+
+def _interpret(answer: object) -> tuple[OrderResult, str | None]:
+    if answer is None:
+        return OrderResult.UNSENT, None
+    if isinstance(answer, SendFailure):
+        sent = answer.may_have_run
+        return (OrderResult.LOST if sent else OrderResult.UNSENT), None
+    if answer.status == 200:
+        return OrderResult.OK, answer.marks.hand_over
+    if answer.status == 409:
+        return OrderResult.CONFLICT, None
+    return OrderResult.LOST, None
--- /dev/null
+++ b/basilwick/runtime/fleet/routing_port.py
@@ -0,0 +1,106 @@
+"""Chooses whom an instance asks where a request goes."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from basilwick.core.dispatch.dispatcher import KeyOwner
+from basilwick.core.dispatch.messages import Refused, Send
+from basilwick.runtime.fleet.desk import Desk, PeerPort
+
+if TYPE_CHECKING:
+    from basilwick.core.dispatch.dispatcher import Decision
+    from basilwick.core.dispatch.messages import Ask
+    from basilwick.core.types import MonotonicSeconds, ServiceName
+    from basilwick.runtime.fleet.desk import DispatchPort
+    from basilwick.runtime.fleet.leadership import SharedState
+    from basilwick.runtime.fleet.links import LeaderLink
+
+__all__ = ["RoutingPort", "StoredOwners"]
+
+#: Time in seconds added to a request's own for the leader's refusal to arrive.
+_REPLY_SLACK_S = 0.05
+
+
+class StoredOwners:
+    """Owners of keys as the leader last stored them."""
+
+    def __init__(self, state: SharedState):
+        self._state = state
+
+    def find_owner(
+        self, service: ServiceName, key: int, now: MonotonicSeconds
+    ) -> KeyOwner:
+        """Return the stored owner of a key."""
+        table = self._state.tables.get(service)
+        if table is None:
+            return KeyOwner(None)
+        return KeyOwner(table.find(key).owner)
+
+
+class RoutingPort:
+    """Asks the leader, or decides with a safe share while it can't be reached.
+
+    Parameters
+    ----------
+    link : LeaderLink
+        Link to the leader.
+    fallback : Desk
+        Decides without the leader.
+    """
+
+    def __init__(self, link: LeaderLink, fallback: Desk):
+        self._link = link
+        self._fallback = PeerPort(fallback, "self")
+        self._own: PeerPort | None = None
+        self._numbers = count(1)
+
+    def lead(self, desk: Desk | None) -> None:
+        """Decide with the desk of the leader, which this instance is, or was."""
+        self._own = None if desk is None else PeerPort(desk, "self")
+
+    async def decide(self, ask: Ask) -> tuple[Decision, DispatchPort]:
+        """Return the decision on a request, and where its end is reported."""
+        ask = evolve(ask, number=next(self._numbers))
+        port = self._choose_port()
+        decision = await self._ask(port, ask)
+        if decision is None and port is not self._fallback:
+            port = self._fallback
+            decision = await self._ask(port, ask)
+        if decision is None:
+            decision = Refused(ask.number, 0.1, "no decision in time")
+        return decision, port
+
+    def _choose_port(self) -> DispatchPort:
+        if self._own is not None:
+            return self._own
+        if self._link.alive:
+            return self._link
+        self._fallback.desk.dispatcher.share.rate = 1.0 / max(8, self._link.instances)
+        return self._fallback
+
+    async def _ask(self, port: DispatchPort, ask: Ask) -> Decision | None:
+        future: asyncio.Future[Decision | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def reply(decision: Decision | None) -> None:
+            if not future.done():
+                future.set_result(decision)
+            elif isinstance(decision, Send):
+                port.cancel(ask.number)
+
+        port.submit(ask, reply)
+        try:
+            async with asyncio.timeout(ask.time_left_s + _REPLY_SLACK_S):
+                return await future
+        except TimeoutError:
+            port.cancel(ask.number)
+            return Refused(ask.number, 0.1, "no decision in time")
+        except asyncio.CancelledError:
+            port.cancel(ask.number)
+            raise
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -6,7 +6,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientError, EofStream
+from aiohttp import ClientError, ClientPayloadError, EofStream
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -64,6 +64,16 @@
         self.received_at = self._clock()
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer without a length whose connection was reset.
+
+        The end of the connection ends such an answer, but a reset cuts it short.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"connection reset: {exc!r}"))
+        super().connection_lost(exc)
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Go on reading; does nothing when reading was not paused.
 
@@ -207,9 +217,14 @@
         """Number of open connections."""
         return len(self._open)
 
-    async def acquire(self) -> HttpConnection:
+    async def acquire(self, idle_limit_s: float = _IDLE_LIMIT_S) -> HttpConnection:
         """Return a connection for one request.
 
+        Parameters
+        ----------
+        idle_limit_s : float
+            Longest time in seconds for which the connection may have been unused.
+
         Raises
         ------
         OSError
@@ -218,7 +233,7 @@
         while True:
             if self._closed:
                 raise PoolClosedError("the pool is closed")
-            connection = self._take_idle()
+            connection = self._take_idle(idle_limit_s)
             if connection is not None:
                 return connection
             if len(self._open) + self._opening < self.bound:
@@ -277,11 +292,11 @@
         while self._waiters:
             self._wake_one()
 
-    def _take_idle(self) -> HttpConnection | None:
+    def _take_idle(self, idle_limit_s: float) -> HttpConnection | None:
         # The most recently used connection is the least likely to be closed.
         while self._idle:
             connection = self._idle.pop()
-            fresh = self._clock() - connection.idle_since < _IDLE_LIMIT_S
+            fresh = self._clock() - connection.idle_since < idle_limit_s
             if fresh and connection.usable:
                 return connection
             self._open.discard(connection)
--- a/basilwick/transport/exchange.py
+++ b/basilwick/transport/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
 from attrs import define, field
@@ -10,6 +9,7 @@
 
 from basilwick.core.errors import ErrorKind, Outcome, Refusal, refuse
 from basilwick.core.limits import RequestClass
+from basilwick.core.types import Operation
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -51,14 +51,6 @@
 _OWN_PREFIX = b"basilwick-"
 
 
-class Operation(StrEnum):
-    """How often an operation may run."""
-
-    IDEMPOTENT = "idempotent"
-    AT_MOST_ONCE = "at-most-once"
-    UPLOAD = "upload"
-
-
 QUEUE_CLASSES = {
     Operation.IDEMPOTENT: RequestClass.LOOKUP,
     Operation.AT_MOST_ONCE: RequestClass.ONCE,
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -20,7 +20,6 @@
 
 __all__ = ["HttpServer", "RawResponse", "answer_refusal"]
 
-_MAX_LINE_BYTES = 8190
 _MAX_FIELD_BYTES = 8190
 _MAX_FIELDS = 64
 _KEEP_ALIVE_S = 75.0
@@ -208,11 +207,21 @@
         IP number and port; port 0 takes a free one.
     handler : callable
         Answers a request.
+    keep_alive_s : float
+        Time in seconds after which an idle connection is closed.
+    max_field_bytes : int
+        Longest request line and header field.
     """
 
     def __init__(
-        self, address: str, handler: Callable[[BaseRequest], Awaitable[RawResponse]]
+        self,
+        address: str,
+        handler: Callable[[BaseRequest], Awaitable[RawResponse]],
+        keep_alive_s: float = _KEEP_ALIVE_S,
+        max_field_bytes: int = _MAX_FIELD_BYTES,
     ):
+        self._keep_alive_s = keep_alive_s
+        self._max_field_bytes = max_field_bytes
         host, _, port = address.rpartition(":")
         self._host, self._port = host.strip("[]"), int(port)
         self._handler = handler
@@ -237,10 +246,10 @@
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=_KEEP_ALIVE_S,
+            keepalive_timeout=self._keep_alive_s,
             lingering_time=_LINGER_S,
-            max_line_size=_MAX_LINE_BYTES,
-            max_field_size=_MAX_FIELD_BYTES,
+            max_line_size=self._max_field_bytes,
+            max_field_size=self._max_field_bytes,
             max_headers=_MAX_FIELDS,
         )
         self._server = await loop.create_server(
--- /dev/null
+++ b/basilwick/transport/server_client.py
@@ -0,0 +1,259 @@
+"""Sends requests and ownership orders to backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, field, frozen
+
+from basilwick.core.dispatch.messages import SendOutcome
+from basilwick.core.errors import Refusal
+from basilwick.transport.connection import LOST, AnswerStream, ConnectionPool
+from basilwick.transport.exchange import SMALL_BODY_BYTES, is_own_field
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Protocol
+
+    from aiohttp import StreamReader
+    from aiohttp.http import RawResponseMessage
+
+    from basilwick.core.types import MonotonicSeconds
+    from basilwick.transport.connection import HttpConnection
+    from basilwick.transport.exchange import ByteStream
+
+    class AnswerMarks(Protocol):
+        """What the sender reads from an answer's fields."""
+
+        request_id: bytes
+        not_run: bool
+
+
+__all__ = ["SendFailure", "ServerAnswer", "ServerClient", "ServerRequest"]
+
+#: Longest time in seconds for which a connection may have been idle. Servers close idle
+#: connections, and a request that crosses the close may have run.
+_IDLE_LIMIT_S = 4.0
+_IDLE_LIMIT_ONCE_S = 1.5
+#: Answers to other requests that are passed over before a connection is given up.
+_STRAY_ANSWERS = 3
+
+
+@frozen
+class ServerRequest:
+    """A request as it is written to a server.
+
+    Attributes
+    ----------
+    head : bytes
+        Whole encoded head.
+    body : bytes or ByteStream
+        Body, whose length the head states.
+    request_id : bytes
+        Identity that the answer repeats; empty if it is not checked.
+    idempotent : bool
+        Whether it may be sent again after a doubtful end.
+    """
+
+    method: str
+    head: bytes
+    body: bytes | ByteStream
+    request_id: bytes
+    idempotent: bool
+
+
+@frozen
+class ServerAnswer:
+    """Answer of a server to the request that was sent.
+
+    Attributes
+    ----------
+    fields : list of pairs of bytes
+        Header fields that are passed on.
+    length : int or None
+        Length of the body that the server stated.
+    """
+
+    status: int
+    fields: list[tuple[bytes, bytes]]
+    body: bytes | AnswerStream
+    length: int | None
+    marks: AnswerMarks
+    latency_s: float
+
+
+@frozen
+class SendFailure:
+    """A send without a usable answer.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether a byte of the request may have reached the server.
+    """
+
+    outcome: SendOutcome
+    may_have_run: bool
+    detail: str
+
+
+@define(eq=False)
+class _Attempt:
+    connection: HttpConnection | None = None
+    sent_at: MonotonicSeconds = 0.0
+    wrote: bool = False
+    #: Whether the connection can carry another request afterwards.
+    reusable: bool = False
+
+
+@define(eq=False)
+class ServerClient:
+    """Kept connections to all servers.
+
+    Parameters
+    ----------
+    clock : callable
+        Local monotonic clock in seconds.
+    read_marks : callable
+        Reads the marks of an answer from its header fields.
+    """
+
+    _clock: Callable[[], MonotonicSeconds]
+    _read_marks: Callable[[Iterable[tuple[bytes, bytes]]], AnswerMarks]
+    _pools: dict[str, ConnectionPool] = field(factory=dict)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
+
+    def forget(self, address: str) -> None:
+        """Close the connections to an address, each when its request has ended."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.retire()
+
+    async def send(
+        self,
+        address: str,
+        request: ServerRequest,
+        timeout_s: float,
+        max_connections: int,
+    ) -> ServerAnswer | SendFailure:
+        """Send a request once; the answer has its head, or its whole small body."""
+        attempt = _Attempt()
+        pool = self._get_pool(address, max_connections)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._attempt(pool, request, attempt)
+        except TimeoutError:
+            if attempt.connection is None:
+                return SendFailure(SendOutcome.UNREACHABLE, False, "no connection")
+            return SendFailure(SendOutcome.TIMEOUT, attempt.wrote, "no answer in time")
+        except LOST as error:
+            if attempt.connection is None:
+                return SendFailure(SendOutcome.UNREACHABLE, False, repr(error))
+            return SendFailure(SendOutcome.LOST, attempt.wrote, repr(error))
+        finally:
+            if attempt.connection is not None:
+                pool.release(attempt.connection, attempt.reusable)
+
+    def _get_pool(self, address: str, max_connections: int) -> ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = ConnectionPool(address, max_connections, self._clock)
+            self._pools[address] = pool
+        pool.bound = max_connections
+        return pool
+
+    async def _attempt(
+        self, pool: ConnectionPool, request: ServerRequest, attempt: _Attempt
+    ) -> ServerAnswer | SendFailure:
+        limit_s = _IDLE_LIMIT_S if request.idempotent else _IDLE_LIMIT_ONCE_S
+        connection = attempt.connection = await pool.acquire(limit_s)
+        attempt.wrote = True
+        attempt.sent_at = self._clock()
+        whole = isinstance(request.body, bytes)
+        data = request.head + request.body if whole else request.head
+        connection.write_head(data, request.method == "HEAD")
+        if whole:
+            message, payload = await self._read_own_head(connection, request)
+        else:
+            sent = await self._send_stream(connection, request)
+            if isinstance(sent, SendFailure):
+                return sent
+            message, payload = sent
+        return await self._read_answer(pool, attempt, request, message, payload)
+
+    async def _read_own_head(
+        self, connection: HttpConnection, request: ServerRequest
+    ) -> tuple[RawResponseMessage, StreamReader]:
+        for _ in range(_STRAY_ANSWERS):
+            message, payload = await connection.read_head()
+            marks = self._read_marks(message.raw_headers)
+            if not request.request_id or marks.request_id == request.request_id:
+                return message, payload
+            if not marks.request_id and marks.not_run:
+                return message, payload
+            await payload.read()
+        raise ConnectionError("the connection carries answers to other requests")
+
+    async def _send_stream(
+        self, connection: HttpConnection, request: ServerRequest
+    ) -> tuple[RawResponseMessage, StreamReader] | SendFailure:
+        pump = asyncio.create_task(_pump_body(connection, request.body))
+        head = asyncio.create_task(self._read_own_head(connection, request))
+        try:
+            await asyncio.wait({pump, head}, return_when=asyncio.FIRST_COMPLETED)
+            if not head.done() and pump.exception() is None and not pump.result():
+                return SendFailure(
+                    SendOutcome.WITHDRAWN, True, "the caller's body ended early"
+                )
+            message, payload = await head
+            if not pump.done():
+                # The server would read the next request as the rest of this body.
+                connection.force_close()
+            return message, payload
+        finally:
+            for task in (pump, head):
+                task.cancel()
+            await asyncio.gather(pump, head, return_exceptions=True)
+
+    async def _read_answer(
+        self,
+        pool: ConnectionPool,
+        attempt: _Attempt,
+        request: ServerRequest,
+        message: RawResponseMessage,
+        payload: StreamReader,
+    ) -> ServerAnswer:
+        latency_s = self._clock() - attempt.sent_at
+        marks = self._read_marks(message.raw_headers)
+        fields = []
+        length = None
+        for name, value in message.raw_headers:
+            lower = name.lower()
+            if lower == b"content-length":
+                length = int(value)
+            elif not is_own_field(lower):
+                fields.append((name, value))
+        if length is None or length <= SMALL_BODY_BYTES:
+            body: bytes | AnswerStream = await payload.read()
+            attempt.reusable = True
+        else:
+            body = AnswerStream(pool, attempt.connection, payload, length)
+            attempt.connection = None
+        return ServerAnswer(message.code, fields, body, length, marks, latency_s)
+
+
+async def _pump_body(connection: HttpConnection, body: ByteStream) -> bool:
+    """Send a body piece by piece; returns whether it was whole."""
+    while True:
+        chunk = await body.read_chunk()
+        if isinstance(chunk, Refusal):
+            return False
+        if not chunk:
+            return True
+        await connection.write_chunk(chunk)
