Keep one owner across a change of leader and a healed partition

Change: the end of a move is stored; stored moves wait for the old lease and holds; moves need a lease that is surely in force; aborted connections are reset.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -11,9 +11,10 @@
 - The former owner is first granted the range with a higher fence and must answer, which
   shuts out earlier grants still under way; then it releases the range and must answer,
   or all grants that it may have are waited out.
-- A leader without contact to the platform's service renews for a bounded time only.
-  A later leader waits that long before it gives away the keys of a server that it never
-  reached.
+- A leader whose lease may have ended sends only renewals of settled ranges, and these
+  for a bounded time. A later leader waits for the end of the lease before it goes on
+  with a stored move, and for that bounded time before it gives away the keys of a
+  server that it never reached.
 """
 
 from __future__ import annotations
@@ -44,9 +45,9 @@
     "Servers",
 ]
 
-#: Hold in seconds of a grant that only raises the fence of a server which should not
-#: go on with the range.
-_FENCING_HOLD_S = 0.05
+#: Time in seconds after a completed move within which its end is stored, together with
+#: other changes.
+_STORE_END_AFTER_S = 0.3
 #: Interval in seconds between an order without an answer and the next one.
 _REPEAT_AFTER_S = 0.2
 #: Orders without an answer after which a server counts as unreachable.
@@ -80,6 +81,9 @@
         Interval between renewals.
     order_timeout_s : float
         Longest wait for an answer to a grant.
+    lease_s : float
+        Time for which a leader may begin and go on with moves after it renewed its
+        lease.
     autonomy_s : float
         Time for which a leader goes on renewing without the platform's service.
     clock_margin : float
@@ -91,6 +95,7 @@
     hold_s: float = 3.0
     renewal_s: float = 0.6
     order_timeout_s: float = 0.6
+    lease_s: float = 2.0
     autonomy_s: float = 9.0
     clock_margin: float = 0.02
     slack_s: float = 0.1
@@ -201,15 +206,21 @@
     _numbers: int = 0
     _pending: dict[int, _Pending] = field(factory=dict)
     _storing: list[KeyRange] | None = None
+    _store_end_at: MonotonicSeconds = float("inf")
 
     def __attrs_post_init__(self) -> None:
         for item in self.table.ranges:
             if item.former is not None:
-                # The move of an earlier leader is carried out from its beginning.
+                # Either server may hold the range until the grants that the earlier
+                # leader sent during the move have run out.
                 item.target, item.owner = item.owner, item.former
                 item.former = None
-                item.enter(Phase.RAISING, self.taken_over_at)
-            elif item.owner is not None:
+                item.enter(Phase.EXPIRING, self.taken_over_at)
+                item.held_until = (
+                    self.taken_over_at + self.times.lease_s + self.times.longest_hold_s
+                )
+                continue
+            if item.owner is not None:
                 item.enter(Phase.OWNED, self.taken_over_at)
             item.held_until = self._get_strange_hold_end()
 
@@ -254,15 +265,28 @@
                 part = self.table.carve(move.first, move.last)
                 self._begin_move(part, move.target, now)
 
-    def tick(self, now: MonotonicSeconds) -> list[Order]:
-        """Return the orders that are due."""
-        self._join_neighbours()
+    def tick(self, now: MonotonicSeconds, leased: bool = True) -> list[Order]:
+        """Return the orders that are due.
+
+        Parameters
+        ----------
+        leased : bool
+            Whether the leader's lease is surely in force; without it only settled
+            ranges are renewed.
+        """
+        if leased:
+            self._join_neighbours()
+        if now >= self._store_end_at:
+            self._store_end_at = float("inf")
+            self.unstored = True
         orders = []
         for item in self.table.ranges:
             if item.pending or now < item.next_order_at:
                 continue
+            if not leased and not (item.phase is Phase.OWNED and item.confirmed):
+                continue
             held_before = item.held_until
-            order = self._decide(item, now)
+            order = self._decide(item, now, leased)
             if order is not None:
                 item.pending = order.number
                 pending = _Pending(item, order, now, held_before)
@@ -355,13 +379,16 @@
 
     # Parts of a decision
 
-    def _decide(self, item: KeyRange, now: MonotonicSeconds) -> Order | None:
+    def _decide(
+        self, item: KeyRange, now: MonotonicSeconds, leased: bool
+    ) -> Order | None:
         if item.phase is Phase.FREE:
             return None
         if item.phase is Phase.EXPIRING:
             self._wait_out(item, now)
             return None
-        if item.phase is Phase.OWNED and not self.servers.may_own(item.owner):
+        may_move = leased and item.phase is Phase.OWNED
+        if may_move and not self.servers.may_own(item.owner):
             target = self.servers.choose_owner(item.owner)
             if target is not None:
                 self._begin_move(item, target, now)
@@ -370,8 +397,7 @@
             return self._order_release(item, now)
         if item.phase is Phase.RAISING:
             item.fence = self.fences.take()
-            hold_s = self.times.hold_s if item.confirmed else _FENCING_HOLD_S
-            return self._order_grant(item, hold_s, now)
+            return self._order_grant(item, self.times.hold_s, now)
         if not item.fence:
             item.fence = self.fences.take()
         return self._order_grant(item, self.times.hold_s, now)
@@ -425,6 +451,7 @@
 
     def _hand_to_target(self, item: KeyRange, now: MonotonicSeconds) -> None:
         item.owner, item.target = item.target, None
+        self._store_end_at = min(self._store_end_at, now + _STORE_END_AFTER_S)
         item.fence = 0
         item.confirmed = False
         item.serving_until = item.held_until = _NEVER
--- a/basilwick/runtime/fleet/lead_role.py
+++ b/basilwick/runtime/fleet/lead_role.py
@@ -25,6 +25,7 @@
     from basilwick.core.ranges.control import OwnerTimes
     from basilwick.core.types import MonotonicSeconds, ServiceName
     from basilwick.platform.store import Store
+    from basilwick.runtime.fleet.range_keeper import LeaderAuthority
     from basilwick.transport.server_client import ServerClient
 
 __all__ = ["LeadRole"]
@@ -61,8 +62,8 @@
 
     Parameters
     ----------
-    authorized : callable
-        Whether orders may be sent now.
+    authority : LeaderAuthority
+        Which orders may be sent now.
     """
 
     def __init__(
@@ -75,14 +76,14 @@
         times: OwnerTimes,
         clock: Callable[[], MonotonicSeconds],
         rng: Random,
-        authorized: Callable[[], bool],
+        authority: LeaderAuthority,
     ):
         self._view = view
         self._store = store
         self._client = client
         self._times = times
         self._clock = clock
-        self._authorized = authorized
+        self._authority = authority
         self._keepers: dict[ServiceName, RangeKeeper] = {}
         dispatcher = Dispatcher(view, self, bounds, deployment.regions, rng)
         self.desk = _MeasuringDesk(dispatcher, clock, self._keepers)
@@ -140,7 +141,7 @@
                 self._client,
                 self._times,
                 self._clock,
-                self._authorized,
+                self._authority,
             )
             try:
                 await keeper.start()
--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -26,6 +26,7 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
+    from basilwick.core.ranges.control import OwnerTimes
     from basilwick.core.types import MonotonicSeconds, ServiceName
     from basilwick.platform.store import Change, Store
     from basilwick.runtime.fleet.links import LeaderLink
@@ -34,8 +35,8 @@
 
 _LEADER_KEY = f"{OWN_PREFIX}leader"
 _RANGES_PREFIX = get_ranges_key("")
-#: Time in seconds after which the record of a silent leader ends.
-_LEASE_S = 2.0
+#: Part of the lease, in seconds, that is kept back for delays.
+_LEASE_MARGIN_S = 0.3
 #: Interval in seconds between renewals of the leader's lease.
 _RENEWAL_S = 0.5
 #: Interval in seconds between looks at who leads.
@@ -120,6 +121,7 @@
         link: LeaderLink,
         begin: Callable[[], Awaitable[None]],
         end: Callable[[], Awaitable[None]],
+        times: OwnerTimes,
         clock: Callable[[], MonotonicSeconds],
         rng: Random,
     ):
@@ -130,6 +132,7 @@
         self._link = link
         self._begin = begin
         self._end = end
+        self._times = times
         self._clock = clock
         self._rng = rng
         self._lease = 0
@@ -140,6 +143,16 @@
         #: Local time at which the last successful renewal was sent.
         self.confirmed_at: MonotonicSeconds = float("-inf")
 
+    def may_move(self) -> bool:
+        """Return whether the lease is surely in force."""
+        age_s = self._clock() - self.confirmed_at
+        return self.leading and age_s < self._times.lease_s - _LEASE_MARGIN_S
+
+    def may_renew(self) -> bool:
+        """Return whether settled ranges may still be renewed."""
+        age_s = self._clock() - self.confirmed_at
+        return self.leading and age_s < self._times.autonomy_s
+
     async def start(self) -> None:
         """Begin to look at who leads."""
         self._task = asyncio.create_task(self._run())
@@ -202,7 +215,7 @@
     async def _try_to_lead(self, former: LeaderRecord | None) -> None:
         sent_at = self._clock()
         value = dumps({"instance": self._instance, "address": self._address})
-        lease = await self._store.create_lease(_LEASE_S, "lead")
+        lease = await self._store.create_lease(self._times.lease_s, "lead")
         revision = 0 if former is None else former.revision
         try:
             result, revision = await self._store.write(
@@ -256,7 +269,7 @@
     async def _take_record_again(self, leader: LeaderRecord | None) -> None:
         sent_at = self._clock()
         value = dumps({"instance": self._instance, "address": self._address})
-        lease = await self._store.create_lease(_LEASE_S, "lead")
+        lease = await self._store.create_lease(self._times.lease_s, "lead")
         result, revision = await self._store.write(
             _LEADER_KEY, value, leader.revision if leader else 0, "lead", lease
         )
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -103,6 +103,7 @@
             self._link,
             self._begin_to_lead,
             self._cease_to_lead,
+            self._times,
             read_clock,
             rng,
         )
@@ -173,7 +174,7 @@
             self._times,
             read_clock,
             self._rng,
-            self._may_order,
+            self._leadership,
         )
         await self._role.start()
         self._port.lead(self._role.desk)
@@ -188,10 +189,6 @@
             await self._role.close()
             self._role = None
 
-    def _may_order(self) -> bool:
-        age_s = read_clock() - self._leadership.confirmed_at
-        return self._leadership.leading and age_s < self._times.autonomy_s
-
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRE_INTERVAL_S)
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 from orjson import JSONDecodeError, dumps, loads
@@ -30,7 +30,13 @@
     from basilwick.platform.store import Store
     from basilwick.transport.server_client import ServerClient
 
-__all__ = ["DeposedError", "RangeKeeper", "decode_ranges", "get_ranges_key"]
+__all__ = [
+    "DeposedError",
+    "LeaderAuthority",
+    "RangeKeeper",
+    "decode_ranges",
+    "get_ranges_key",
+]
 
 #: Own items of the instances in the platform's service.
 OWN_PREFIX = "basilwick/"
@@ -68,6 +74,16 @@
         raise ValueError(f"stored ranges {value[:100]!r}: {error!r}") from error
 
 
+class LeaderAuthority(Protocol):
+    """Which orders the leader may send."""
+
+    def may_move(self) -> bool:
+        """Return whether the lease is surely in force."""
+
+    def may_renew(self) -> bool:
+        """Return whether settled ranges may still be renewed."""
+
+
 class RangeKeeper:
     """Owner of the ranges of one service while this instance leads.
 
@@ -75,8 +91,8 @@
     ----------
     selection : OwnerSelection
         Chooses owners.
-    authorized : callable
-        Whether this instance may send orders now.
+    authority : LeaderAuthority
+        Which orders this instance may send now.
     """
 
     def __init__(
@@ -87,7 +103,7 @@
         client: ServerClient,
         times: OwnerTimes,
         clock: Callable[[], MonotonicSeconds],
-        authorized: Callable[[], bool],
+        authority: LeaderAuthority,
     ):
         self.selection = selection
         self.service = selection.service
@@ -96,7 +112,7 @@
         self._client = client
         self._times = times
         self._clock = clock
-        self._authorized = authorized
+        self._authority = authority
         self._key = get_ranges_key(self.service)
         self._revision = 0
         self._reserved = 0
@@ -149,19 +165,20 @@
         """Send the orders that are due, and store what changed."""
         control = self.control
         now = self._clock()
-        if not self._authorized():
+        if not self._authority.may_renew():
             return
         self._note_restarts(now)
         owners = self.selection.list_owners(now)
         control.assign_free(owners, now)
-        for order in control.tick(now):
-            self._spawn(self._send(order))
+        self._send_due()
         stored = control.take_unstored()
         if stored is not None:
             self._spawn(self._store_ranges(stored))
 
     def plan(self) -> None:
         """Begin the moves that even out the load."""
+        if not self._authority.may_move():
+            return
         now = self._clock()
         moves = self.selection.plan(self.control.table, now)
         begun = self.control.move(moves, now)
@@ -254,12 +271,14 @@
             self.control.note_granted(order, result, now)
         else:
             self.control.note_released(order, result, hand_over, now)
-        self._send_next()
+        self._send_due()
 
-    def _send_next(self) -> None:
-        if self._authorized():
-            for order in self.control.tick(self._clock()):
-                self._spawn(self._send(order))
+    def _send_due(self) -> None:
+        if not self._authority.may_renew():
+            return
+        leased = self._authority.may_move()
+        for order in self.control.tick(self._clock(), leased):
+            self._spawn(self._send(order))
 
     async def _call(self, address: str, data: bytes, timeout_s: float) -> object:
         request = ServerRequest("POST", data, b"", b"", idempotent=True)
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections import deque
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientError, ClientPayloadError, EofStream
@@ -34,6 +36,8 @@
 #: Idle connections are not used after this time, before common server limits of 15 s
 #: close them under a request.
 _IDLE_LIMIT_S = 12.0
+#: Linger on, for no time: a close resets the connection.
+_RESET_ON_CLOSE = pack("ii", 1, 0)
 #: Errors that mean that a connection gives no answer any more.
 LOST = (OSError, ClientError, HttpProcessingError, EofStream)
 
@@ -123,9 +127,16 @@
         self.abort_transport()
 
     def abort_transport(self) -> None:
-        """Close without sending what is buffered."""
+        """Reset the connection, so that what was not delivered yet never is.
+
+        A plain close would leave the bytes to the kernel, which delivers them when a
+        partition heals, long after the sender has given them up.
+        """
         self._should_close = True
         if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None:
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
             self.transport.abort()
 
 
