--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -37,7 +37,7 @@
 _MAX_RETRY_AFTER_S = 2.0
 #: Time of a long request in units of the mean one. A queue in which such a request
 #: still ends within its target keeps the slots busy, and a longer one makes all late.
-_WORK_SPREAD = 1.5
+_WORK_SPREAD = 1.75
 #: Late requests that may wait, in units of the slots that serve them.
 _LATE_QUEUE_PER_SLOT = 1.0
 
@@ -197,7 +197,9 @@
         if ticket is None or ticket.server is None:
             return []
         service = self._get_service(ticket.ask.service)
-        self._get_load(ticket.server).finish(done.outcome, done.latency_s, now)
+        self._get_load(ticket.server).finish(
+            done.outcome, done.latency_s, done.slowness, now
+        )
         if done.outcome is SendOutcome.OK:
             work_s = service.usual_s
             service.work_s = work_s + _SMOOTHING * (done.latency_s - work_s)
@@ -213,7 +215,7 @@
         ticket.ended = True
         if ticket.server is None:
             return []
-        self._get_load(ticket.server).finish(SendOutcome.WITHDRAWN, 0.0, now)
+        self._get_load(ticket.server).finish(SendOutcome.WITHDRAWN, 0.0, 0.0, now)
         return list(self._serve_lane(self._find_lane(ticket), now))
 
     def advance(self, now: MonotonicSeconds) -> list[tuple[Hashable, Decision]]:
--- a/basilwick/core/ranges/capacities.py
+++ b/basilwick/core/ranges/capacities.py
@@ -63,7 +63,7 @@
     def plan(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
         """Return the moves that even out the load."""
         capacities = [
-            Capacity(entry.name, entry.slots, self._get_work_s(entry, now))
+            Capacity(entry.name, entry.slots, self._get_work_s(entry))
             for entry in self._list_candidates(now)
         ]
         spans = [
@@ -85,9 +85,9 @@
         warm = [entry for entry in reached if not self.view.is_cold(entry.name, now)]
         return warm or reached or entries
 
-    def _get_work_s(self, entry: ServerEntry, now: MonotonicSeconds) -> float:
+    def _get_work_s(self, entry: ServerEntry) -> float:
         usual_s = self.dispatcher.get_work_s(self.service)
-        return self.dispatcher.measure_load(entry.name).estimate_work(usual_s, now)
+        return self.dispatcher.measure_load(entry.name).estimate_lasting_work(usual_s)
 
     def _measure(
         self,
--- a/basilwick/core/ranges/key_load.py
+++ b/basilwick/core/ranges/key_load.py
@@ -13,7 +13,7 @@
 __all__ = ["KeyLoad"]
 
 #: Time in seconds over which a key's requests are averaged.
-_AVERAGING_S = 1.0
+_AVERAGING_S = 0.6
 #: Rate per second below which a key is forgotten.
 _LEAST_RATE = 0.05
 
--- a/basilwick/core/ranges/placement.py
+++ b/basilwick/core/ranges/placement.py
@@ -25,12 +25,12 @@
 __all__ = ["Capacity", "Move", "OwnedSpan", "plan_even_shares", "plan_moves"]
 
 #: Ratio of the longest to the shortest expected time that is evened out.
-_TOLERATED_RATIO = 1.3
+_TOLERATED_RATIO = 1.4
 #: Share of the wanted load that a span to move must carry at least.
 _LEAST_SHARE = 0.3
 #: Load that all keys together have to carry to be worth their move, in units of the
 #: wanted load: keys that change hands cost their new owner time.
-_WIDTH_COST = 6.0
+_WIDTH_COST = 40.0
 #: Free share of a server below which its expected time grows no further.
 _LEAST_FREE = 0.05
 #: Utilization from which a server counts as full.
--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -8,6 +8,7 @@
 from aiohttp.web import RequestPayloadError
 from attrs import define
 
+from basilwick.core.dispatch.first_attempts import FirstAttempts
 from basilwick.core.dispatch.messages import Ask, Done, Refused, SendOutcome
 from basilwick.core.dispatch.routes import RouteTable
 from basilwick.core.types import Operation
@@ -127,6 +128,7 @@
         self._clock = clock
         self._metrics = metrics
         self._routes = RouteTable()
+        self._first_attempts = FirstAttempts()
         self._tasks: set[asyncio.Task[Answer]] = set()
         #: Whether connections are closed with their next answer.
         self.closing = False
@@ -155,7 +157,11 @@
             self._log_unrouted(raw, marks, configuration.version)
             return Answer(404)
         timeout_s = route.timeout_s
+        elapsed_s = 0.0
         if marks.time_left_s is not None:
+            elapsed_s = self._first_attempts.estimate_elapsed(
+                route.name, marks.time_left_s, arrived_at
+            )
             timeout_s = min(timeout_s, marks.time_left_s - _ANSWER_MARGIN_S)
         call = _Call(
             raw,
@@ -164,7 +170,7 @@
             self._routes.choose_service(route),
             arrived_at,
             arrived_at + timeout_s,
-            arrived_at + route.target_latency_s,
+            arrived_at + route.target_latency_s - elapsed_s,
         )
         answer = await self._run(call)
         self._note(call, answer)
@@ -322,6 +328,7 @@
             attempts=call.attempts,
             servers=call.tried,
             reason=call.reason,
+            time_left_ms=round((call.marks.time_left_s or 0.0) * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
 
