--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -37,7 +37,7 @@
 _MAX_RETRY_AFTER_S = 2.0
 #: Time of a long request in units of the mean one. A queue in which such a request
 #: still ends within its target keeps the slots busy, and a longer one makes all late.
-_WORK_SPREAD = 1.75
+_WORK_SPREAD = 1.25
 #: Late requests that may wait, in units of the slots that serve them.
 _LATE_QUEUE_PER_SLOT = 1.0
 
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -91,7 +91,7 @@
     Attributes
     ----------
     latency_s : float
-        Seconds from the send to the answer.
+        Seconds from the send to the answer, or to the end without one.
     slowness : float
         Work time on the server's machine relative to the usual one, 0 if not known.
     """
--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -33,7 +33,9 @@
 #: Share of the warm-up rate that may be sent at one moment.
 _BURST_S = 0.1
 _FAILURES = (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.SHED)
-_NO_CONTACT = (SendOutcome.UNREACHABLE, SendOutcome.TIMEOUT)
+#: Time in seconds without an answer after which a server counts as not reached. A
+#: request that had less time left says nothing.
+_SILENT_AFTER_S = 0.5
 
 
 @define
@@ -89,10 +91,6 @@
         weight = exp((self._measured_at - now) / _FORGET_S)
         return usual_s + weight * (self.work_s - usual_s)
 
-    def estimate_lasting_work(self, usual_s: float) -> float:
-        """Return the time of a request in seconds that decides where keys are."""
-        return self.lasting_work_s or usual_s
-
     def score(
         self, usual_s: float, slots: int, cold: bool, now: MonotonicSeconds
     ) -> float:
@@ -120,12 +118,16 @@
             Work time on the server's machine relative to the usual one, 0 if not known.
         """
         self.running = max(0, self.running - 1)
+        silent = outcome is SendOutcome.TIMEOUT and latency_s >= _SILENT_AFTER_S
+        no_contact = silent or outcome is SendOutcome.UNREACHABLE
+        if outcome is SendOutcome.TIMEOUT and not silent:
+            outcome = SendOutcome.WITHDRAWN
         if outcome is SendOutcome.WITHDRAWN:
             return
-        failed = outcome in _FAILURES or outcome in _NO_CONTACT
+        failed = outcome in _FAILURES or no_contact
         self.failure_share += _SMOOTHING * (failed - self.failure_share)
         self._measured_at = now
-        if outcome in _NO_CONTACT:
+        if no_contact:
             self._block(now)
         elif outcome is SendOutcome.OK:
             self._blocks = 0
--- a/basilwick/core/ranges/capacities.py
+++ b/basilwick/core/ranges/capacities.py
@@ -62,10 +62,7 @@
 
     def plan(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
         """Return the moves that even out the load."""
-        capacities = [
-            Capacity(entry.name, entry.slots, self._get_work_s(entry))
-            for entry in self._list_candidates(now)
-        ]
+        capacities = self._list_capacities(now)
         spans = [
             OwnedSpan(item.first, item.last, item.owner)
             for item in table.ranges
@@ -85,9 +82,20 @@
         warm = [entry for entry in reached if not self.view.is_cold(entry.name, now)]
         return warm or reached or entries
 
-    def _get_work_s(self, entry: ServerEntry) -> float:
-        usual_s = self.dispatcher.get_work_s(self.service)
-        return self.dispatcher.measure_load(entry.name).estimate_lasting_work(usual_s)
+    def _list_capacities(self, now: MonotonicSeconds) -> list[Capacity]:
+        entries = self._list_candidates(now)
+        works = {
+            entry.name: self.dispatcher.measure_load(entry.name).lasting_work_s
+            for entry in entries
+        }
+        # A server that was not measured counts as quick, so that it is tried.
+        quickest_s = min(filter(None, works.values()), default=None)
+        if quickest_s is None:
+            quickest_s = self.dispatcher.get_work_s(self.service)
+        return [
+            Capacity(entry.name, entry.slots, works[entry.name] or quickest_s)
+            for entry in entries
+        ]
 
     def _measure(
         self,
--- a/basilwick/core/ranges/placement.py
+++ b/basilwick/core/ranges/placement.py
@@ -28,9 +28,14 @@
 _TOLERATED_RATIO = 1.4
 #: Share of the wanted load that a span to move must carry at least.
 _LEAST_SHARE = 0.3
-#: Load that all keys together have to carry to be worth their move, in units of the
-#: wanted load: keys that change hands cost their new owner time.
-_WIDTH_COST = 40.0
+#: Requests that a move of all keys costs, and the time in seconds for which the load is
+#: taken to last: together the rate that makes up for the move.
+_COST_OF_ALL_KEYS = 95.0
+_LASTS_S = 10.0
+#: Value of a request that leaves an overloaded server, and one that is not, in units of
+#: a request that is answered in time.
+_GAIN_FROM_FULL = 1.0
+_GAIN_FROM_BUSY = 0.07
 #: Free share of a server below which its expected time grows no further.
 _LEAST_FREE = 0.05
 #: Utilization from which a server counts as full.
@@ -201,9 +206,11 @@
 
 def _move_between(plan: _Plan, donor: ServerName, receiver: ServerName) -> bool:
     wanted = _compute_wanted(plan, donor, receiver)
+    full = plan.utilize(donor) >= _FULL
+    gain = _GAIN_FROM_FULL if full else _GAIN_FROM_BUSY
     best = None
     for span in plan.spans[donor]:
-        found = _find_window(plan.list_keys(span), wanted)
+        found = _find_window(plan.list_keys(span), wanted, gain)
         if found is not None and (best is None or found[0] > best[1][0]):
             best = span, found
     if best is None:
@@ -225,13 +232,14 @@
 
 
 def _find_window(
-    keys: Sequence[tuple[int, float]], wanted: float
+    keys: Sequence[tuple[int, float]], wanted: float, gain: float
 ) -> tuple[float, int, int, float] | None:
     """Return worth, first key, last key and rate of the best span to move.
 
-    The span carries at most the wanted rate. Its worth is its rate, less the cost of
-    its keys.
+    The span carries at most the wanted rate. Its worth is what its requests gain, less
+    the cost of its keys.
     """
+    cost_per_key = _COST_OF_ALL_KEYS / _LASTS_S / KEYS
     best = None
     start = 0
     total = 0.0
@@ -243,7 +251,7 @@
         if start > end or total < _LEAST_SHARE * wanted:
             continue
         first, last = keys[start][0], keys[end][0]
-        worth = total - _WIDTH_COST * wanted * (last - first + 1) / KEYS
+        worth = gain * total - cost_per_key * (last - first + 1)
         if worth > 0.0 and (best is None or worth > best[0]):
             best = worth, first, last, total
     return best
--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -254,14 +254,14 @@
         call.tried += (decision.server,)
         call.sending = True
         outcome = SendOutcome.WITHDRAWN
-        latency_s = slowness = 0.0
+        slowness = 0.0
+        sent_at = self._clock()
         try:
             result = await self._send_once(call, decision)
             if isinstance(result, SendFailure):
                 outcome = result.outcome
             else:
                 outcome = _classify(result)
-                latency_s = result.latency_s
                 slowness = result.marks.slowness
                 if result.marks.warm_up_left_s:
                     self._view.warm_up(
@@ -270,6 +270,7 @@
             return result
         finally:
             call.sending = False
+            latency_s = self._clock() - sent_at
             port.finish(Done(decision.number, outcome, latency_s, slowness))
 
     async def _send_once(
