Place keys by the present speed of servers and even use

Change: moves even out utilization, with the present speed; a move has to make up for its cost, and wide spans leave only overloaded servers.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -197,9 +197,7 @@
         if ticket is None or ticket.server is None:
             return []
         service = self._get_service(ticket.ask.service)
-        self._get_load(ticket.server).finish(
-            done.outcome, done.latency_s, done.slowness, now
-        )
+        self._get_load(ticket.server).finish(done.outcome, done.latency_s, now)
         if done.outcome is SendOutcome.OK:
             work_s = service.usual_s
             service.work_s = work_s + _SMOOTHING * (done.latency_s - work_s)
@@ -215,7 +213,7 @@
         ticket.ended = True
         if ticket.server is None:
             return []
-        self._get_load(ticket.server).finish(SendOutcome.WITHDRAWN, 0.0, 0.0, now)
+        self._get_load(ticket.server).finish(SendOutcome.WITHDRAWN, 0.0, now)
         return list(self._serve_lane(self._find_lane(ticket), now))
 
     def advance(self, now: MonotonicSeconds) -> list[tuple[Hashable, Decision]]:
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -92,14 +92,11 @@
     ----------
     latency_s : float
         Seconds from the send to the answer, or to the end without one.
-    slowness : float
-        Work time on the server's machine relative to the usual one, 0 if not known.
     """
 
     number: int
     outcome: SendOutcome
     latency_s: float
-    slowness: float = 0.0
 
 
 @frozen
--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -14,10 +14,8 @@
 
 __all__ = ["ServerLoad", "WarmUpRate"]
 
-#: Weight of the newest sample in the moving averages of the present state, and of the
-#: lasting speed.
+#: Weight of the newest sample in the moving averages.
 _SMOOTHING = 0.15
-_LASTING_SMOOTHING = 0.04
 #: Time in seconds over which the measured speed of a server that gets no requests is
 #: forgotten, so that a former straggler is tried again.
 _FORGET_S = 8.0
@@ -66,9 +64,6 @@
         Requests sent and not ended.
     work_s : float
         Moving average of the time to an answer, in seconds.
-    lasting_work_s : float
-        The same over a longer time, without what the server's neighbours on its
-        machine add.
     failure_share : float
         Moving average of the share of failed sends.
     blocked_until : float
@@ -77,7 +72,6 @@
 
     running: int = 0
     work_s: float = 0.0
-    lasting_work_s: float = 0.0
     failure_share: float = 0.0
     blocked_until: MonotonicSeconds = 0.0
     warm_up: WarmUpRate = field(factory=WarmUpRate)
@@ -102,21 +96,9 @@
         return cost * _COLD_COST if cold else cost
 
     def finish(
-        self,
-        outcome: SendOutcome,
-        latency_s: float,
-        slowness: float,
-        now: MonotonicSeconds,
+        self, outcome: SendOutcome, latency_s: float, now: MonotonicSeconds
     ) -> None:
-        """Free a slot and learn from the outcome.
-
-        Parameters
-        ----------
-        latency_s : float
-            Seconds from the send to the answer.
-        slowness : float
-            Work time on the server's machine relative to the usual one, 0 if not known.
-        """
+        """Free a slot and learn from the outcome."""
         self.running = max(0, self.running - 1)
         silent = outcome is SendOutcome.TIMEOUT and latency_s >= _SILENT_AFTER_S
         no_contact = silent or outcome is SendOutcome.UNREACHABLE
@@ -131,11 +113,10 @@
             self._block(now)
         elif outcome is SendOutcome.OK:
             self._blocks = 0
-            self.work_s = _smooth(self.work_s, latency_s, _SMOOTHING)
-            lasting_s = latency_s / (slowness or 1.0)
-            self.lasting_work_s = _smooth(
-                self.lasting_work_s, lasting_s, _LASTING_SMOOTHING
-            )
+            if self.work_s:
+                self.work_s += _SMOOTHING * (latency_s - self.work_s)
+            else:
+                self.work_s = latency_s
 
     def _block(self, now: MonotonicSeconds) -> None:
         if now < self.blocked_until:
@@ -143,7 +124,3 @@
         self._blocks = min(self._blocks + 1, 8)
         pause_s = min(_LONGEST_BLOCK_S, _FIRST_BLOCK_S * 2 ** (self._blocks - 1))
         self.blocked_until = now + pause_s
-
-
-def _smooth(average: float, sample: float, weight: float) -> float:
-    return average + weight * (sample - average) if average else sample
--- a/basilwick/core/ranges/capacities.py
+++ b/basilwick/core/ranges/capacities.py
@@ -85,7 +85,7 @@
     def _list_capacities(self, now: MonotonicSeconds) -> list[Capacity]:
         entries = self._list_candidates(now)
         works = {
-            entry.name: self.dispatcher.measure_load(entry.name).lasting_work_s
+            entry.name: self.dispatcher.measure_load(entry.name).work_s
             for entry in entries
         }
         # A server that was not measured counts as quick, so that it is tried.
--- a/basilwick/core/ranges/placement.py
+++ b/basilwick/core/ranges/placement.py
@@ -2,15 +2,12 @@
 
 Answers a load in which a few neighbouring keys take most of the requests and change
 within seconds, on servers of different speed. Spans are cut around the busy keys and
-moved from the server with the longest expected time to an answer to the one with the
-shortest, so that slow servers get few keys while the fast ones have room. A single key
-that is too busy for its server goes to the server that can take most of it.
+moved from the server that is used most, for its speed, to the one that is used least.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_left
-from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
@@ -24,24 +21,22 @@
 
 __all__ = ["Capacity", "Move", "OwnedSpan", "plan_even_shares", "plan_moves"]
 
-#: Ratio of the longest to the shortest expected time that is evened out.
-_TOLERATED_RATIO = 1.4
+#: Utilization above the mean that is evened out.
+_TOLERATED_EXCESS = 1.15
+#: Utilization below which a server is left alone.
+_IDLE_UTILIZATION = 0.35
 #: Share of the wanted load that a span to move must carry at least.
 _LEAST_SHARE = 0.3
 #: Requests that a move of all keys costs, and the time in seconds for which the load is
 #: taken to last: together the rate that makes up for the move.
 _COST_OF_ALL_KEYS = 95.0
 _LASTS_S = 10.0
-#: Value of a request that leaves an overloaded server, and one that is not, in units of
-#: a request that is answered in time.
-_GAIN_FROM_FULL = 1.0
+#: Share of the moved requests that are answered in time and would not have been, when
+#: they leave a server that is busy, and one that gets more than it can do.
 _GAIN_FROM_BUSY = 0.07
-#: Free share of a server below which its expected time grows no further.
-_LEAST_FREE = 0.05
-#: Utilization from which a server counts as full.
-_FULL = 0.9
-#: Ratio of capacities from which a busy key goes to a larger server.
-_LARGER = 1.2
+_GAIN_FROM_OVERLOADED = 0.5
+#: Utilization, as estimated, from which a server surely gets more than it can do.
+_OVERLOADED = 1.2
 #: Moves decided at a time.
 _MOVES_PER_PLAN = 6
 
@@ -97,14 +92,6 @@
     def utilize(self, server: ServerName) -> float:
         return self.load[server] / self.capacities[server].requests_per_s
 
-    def estimate_time(self, server: ServerName) -> float:
-        """Return the expected time to an answer in seconds."""
-        free = 1.0 - self.utilize(server)
-        if free >= _LEAST_FREE:
-            return self.capacities[server].work_s / free
-        # Grows with the excess, so that the fullest of several full servers is known.
-        return self.capacities[server].work_s * (1.0 + _LEAST_FREE - free) / _LEAST_FREE
-
     def list_keys(self, span: OwnedSpan) -> Sequence[tuple[int, float]]:
         """Return the keys of a span in order, with their rates."""
         start = bisect_left(self.rates, (span.first, 0.0))
@@ -169,45 +156,26 @@
         if span.owner in plan.load:
             plan.spans.setdefault(span.owner, []).append(span)
             plan.load[span.owner] += sum(rate for _, rate in plan.list_keys(span))
-    _move_busiest_key(plan)
+    mean = sum(plan.load.values()) / sum(c.requests_per_s for c in capacities)
+    bound = max(_IDLE_UTILIZATION, _TOLERATED_EXCESS * mean)
     tired: set[ServerName] = set()
     while len(plan.moves) < most:
         donors = [name for name in plan.spans if name not in tired and plan.load[name]]
         if not donors:
             break
-        donor = max(donors, key=plan.estimate_time)
-        receiver = min(plan.load, key=plan.estimate_time)
-        longest, shortest = plan.estimate_time(donor), plan.estimate_time(receiver)
-        if longest <= _TOLERATED_RATIO * shortest:
+        donor = max(donors, key=plan.utilize)
+        if plan.utilize(donor) <= bound:
             break
+        receiver = min(plan.load, key=plan.utilize)
         if not _move_between(plan, donor, receiver):
             tired.add(donor)
     return plan.moves
 
 
-def _move_busiest_key(plan: _Plan) -> None:
-    """Give a key that fills its server to the server with most capacity."""
-    keys = [
-        (rate, key, span)
-        for spans in plan.spans.values()
-        for span in spans
-        for key, rate in plan.list_keys(span)
-    ]
-    if not keys:
-        return
-    rate, key, span = max(keys, key=itemgetter(0))
-    capacity = plan.capacities[span.owner].requests_per_s
-    if rate < _FULL * capacity:
-        return
-    largest = max(plan.capacities.values(), key=lambda c: c.requests_per_s)
-    if largest.requests_per_s >= _LARGER * capacity:
-        plan.move(span, key, key, rate, largest.server)
-
-
 def _move_between(plan: _Plan, donor: ServerName, receiver: ServerName) -> bool:
     wanted = _compute_wanted(plan, donor, receiver)
-    full = plan.utilize(donor) >= _FULL
-    gain = _GAIN_FROM_FULL if full else _GAIN_FROM_BUSY
+    overloaded = plan.utilize(donor) >= _OVERLOADED
+    gain = _GAIN_FROM_OVERLOADED if overloaded else _GAIN_FROM_BUSY
     best = None
     for span in plan.spans[donor]:
         found = _find_window(plan.list_keys(span), wanted, gain)
@@ -221,14 +189,10 @@
 
 
 def _compute_wanted(plan: _Plan, donor: ServerName, receiver: ServerName) -> float:
-    """Return the rate whose move makes the expected times of two servers equal."""
+    """Return the rate whose move makes the utilization of two servers equal."""
+    gap = plan.utilize(donor) - plan.utilize(receiver)
     giving, taking = plan.capacities[donor], plan.capacities[receiver]
-    free_giving = 1.0 - plan.utilize(donor)
-    free_taking = 1.0 - plan.utilize(receiver)
-    gap = giving.work_s * free_taking - taking.work_s * free_giving
-    slope = taking.work_s / giving.requests_per_s
-    slope += giving.work_s / taking.requests_per_s
-    return min(gap / slope, plan.load[donor])
+    return gap / (1 / giving.requests_per_s + 1 / taking.requests_per_s)
 
 
 def _find_window(
--- a/basilwick/platform/backends.py
+++ b/basilwick/platform/backends.py
@@ -29,7 +29,6 @@
 _EXPECTED_INSTANCE = b"x-expected-instance"
 _KEY = b"x-shard-key"
 _NOT_RUN = b"x-not-executed"
-_LOAD = b"x-server-load"
 _WARM_UP = b"x-warmup-remaining-ms"
 _HAND_OVER = b"x-handover"
 _MS = 0.001
@@ -65,8 +64,6 @@
         Request that the answer belongs to, empty if it doesn't say.
     not_run : bool
         Whether the server states that it did not run the request.
-    slowness : float
-        Work time on its machine relative to the usual one, 0 if it doesn't say.
     warm_up_left_s : float
         Seconds for which it stays cold.
     hand_over : str or None
@@ -75,7 +72,6 @@
 
     request_id: bytes
     not_run: bool
-    slowness: float
     warm_up_left_s: float
     hand_over: str | None
 
@@ -101,13 +97,10 @@
 def read_answer_marks(fields: Iterable[tuple[bytes, bytes]]) -> AnswerMarks:
     """Read the fields of a server's answer."""
     values = {name.lower(): value for name, value in fields}
-    load = values.get(_LOAD, b"").split(b",")
-    slowness = _read_number(load[3], 0.0) / 100.0 if len(load) > 3 else 0.0
     hand_over = values.get(_HAND_OVER)
     return AnswerMarks(
         values.get(_REQUEST_ID, b""),
         _NOT_RUN in values,
-        slowness,
         _read_number(values.get(_WARM_UP, b""), 0.0) * _MS,
         None if hand_over is None else hand_over.decode("latin-1"),
     )
--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -254,7 +254,6 @@
         call.tried += (decision.server,)
         call.sending = True
         outcome = SendOutcome.WITHDRAWN
-        slowness = 0.0
         sent_at = self._clock()
         try:
             result = await self._send_once(call, decision)
@@ -262,7 +261,6 @@
                 outcome = result.outcome
             else:
                 outcome = _classify(result)
-                slowness = result.marks.slowness
                 if result.marks.warm_up_left_s:
                     self._view.warm_up(
                         decision.server, result.marks.warm_up_left_s, self._clock()
@@ -271,7 +269,7 @@
         finally:
             call.sending = False
             latency_s = self._clock() - sent_at
-            port.finish(Done(decision.number, outcome, latency_s, slowness))
+            port.finish(Done(decision.number, outcome, latency_s))
 
     async def _send_once(
         self, call: _Call, decision: Send
--- a/benchmarks/day_emulator.py
+++ b/benchmarks/day_emulator.py
@@ -55,6 +55,8 @@
     ----------
     rate : float
         First attempts per second.
+    full_factor : float
+        Factor of the work time at a server with all slots in use.
     hot : list of (float, float, float)
         Begin and end in seconds and share of the requests for one key.
     speeds : tuple of float
@@ -72,6 +74,7 @@
     speeds: tuple[float, ...] = (0.7, 0.7, 1.6)
     noise_share: float = 0.2
     noise_factor: float = 3.0
+    full_factor: float = 1.3
     hot: list[tuple[float, float, float]] = field(
         factory=lambda: [(1.3, 6.3, 0.31), (6.8, 10.8, 0.4)]
     )
@@ -225,6 +228,8 @@
     def _run(self, number: int, server: str) -> None:
         work_s = self.rng.lognormvariate(-0.32, 0.8) * self.load.work_s
         work_s *= self._base[server] * self._slowness[server]
+        if len(self._running[server]) >= self.load.slots - 1:
+            work_s *= self.load.full_factor
         end = self.now + work_s + 2 * _SERVER_DELAY_S
         request = self._requests[number]
         self._running[server].append((request.key, end))
@@ -233,7 +238,7 @@
     def _end(self, number: int, server: str, sent_at: float) -> None:
         request = self._requests.pop(number)
         self._running[server].remove((request.key, self.now))
-        done = Done(number, SendOutcome.OK, self.now - sent_at, self._slowness[server])
+        done = Done(number, SendOutcome.OK, self.now - sent_at)
         self._count(request, self.now + 2 * _CALLER_DELAY_S - request.first_at)
         self._take(self.dispatcher.finish(number, done, self.now))
 
