Drop and count log lines instead of blocking on a slow reader

Cause: with 20,000 lines held, the caller wrote them itself, so a stuck reader of standard output stopped requests. Change: a full buffer and more than 1,000 request lines a second drop lines; a line tells how many.

--- a/basilwick/logs.py
+++ b/basilwick/logs.py
@@ -22,8 +22,11 @@
 __all__ = ["LineWriter", "close_logs", "configure_logs", "log_decision"]
 
 _FLUSH_INTERVAL_S = 0.1
-#: Lines held before a caller has to write them itself; bounds memory without dropping.
+#: Lines held for a slow reader. Further ones are dropped and counted, because a stuck
+#: reader must not delay requests or take the instance's memory.
 _MAX_HELD_LINES = 20_000
+#: Lines about single requests taken in a second; further ones are dropped and counted.
+_MAX_DECISIONS_PER_S = 1_000
 _WARNING_NUMBER = 30
 _REDACTED = "[redacted]"
 #: Fields whose values give rights to whoever reads them.
@@ -62,18 +65,36 @@
         self._lock = Lock()
         self._wake = Event()
         self._closed = False
+        self._dropped = 0
+        self._second = 0
+        self._decisions = 0
         self.takes_decisions = True
         self._thread = Thread(target=self._run, name="log-writer", daemon=True)
         self._thread.start()
 
     def add(self, line: dict[str, Any], *, urgent: bool = False) -> None:
         """Take a line; ``urgent`` has it written without waiting for a batch."""
+        if len(self._lines) >= _MAX_HELD_LINES:
+            self._dropped += 1
+            return
         self._lines.append(line)
-        if len(self._lines) >= _MAX_HELD_LINES or self._closed:
+        if self._closed:
             self.flush()
         elif urgent:
             self._wake.set()
 
+    def add_decision(self, line: dict[str, Any]) -> None:
+        """Take a line about a single request, unless too many came in this second."""
+        second = int(line["time"])
+        if second != self._second:
+            self._second = second
+            self._decisions = 0
+        self._decisions += 1
+        if self._decisions > _MAX_DECISIONS_PER_S:
+            self._dropped += 1
+        else:
+            self.add(line)
+
     def take_message(self, message: Message) -> None:
         """Take a line from loguru."""
         record = message.record
@@ -91,6 +112,8 @@
         """Write all lines taken so far."""
         with self._lock:
             lines = [self._lines.popleft() for _ in range(len(self._lines))]
+            if self._dropped:
+                lines.append(self._take_dropped())
             if not lines:
                 return
             data = b"".join([self._encode(line) for line in lines])
@@ -103,6 +126,15 @@
                 # The reader of the stream is gone; a router must not stop for that.
                 pass
 
+    def _take_dropped(self) -> dict[str, Any]:
+        dropped, self._dropped = self._dropped, 0
+        return {
+            "dropped": dropped,
+            "time": time(),
+            "level": "WARNING",
+            "message": "log lines dropped",
+        }
+
     def close(self) -> None:
         """Write all lines and end the thread."""
         self._closed = True
@@ -181,7 +213,7 @@
     fields["time"] = time()
     fields["level"] = "INFO"
     fields["message"] = message
-    _writer.add(fields)
+    _writer.add_decision(fields)
 
 
 def _redact(line: dict[str, Any]) -> None:
