--- a/basilwick/runtime/fleet/lead_role.py
+++ b/basilwick/runtime/fleet/lead_role.py
@@ -32,6 +32,8 @@
 
 #: Interval in seconds between looks at orders that are due.
 _TICK_INTERVAL_S = 0.05
+#: Interval in seconds between looks for services without a keeper.
+_TAKE_INTERVAL_S = 0.1
 #: Interval in seconds between plans of moves.
 _PLAN_INTERVAL_S = 0.4
 
@@ -87,19 +89,22 @@
         self._keepers: dict[ServiceName, RangeKeeper] = {}
         dispatcher = Dispatcher(view, self, bounds, deployment.regions, rng)
         self.desk = _MeasuringDesk(dispatcher, clock, self._keepers)
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self.deposed = False
 
     async def start(self) -> None:
         """Begin to lead."""
         await self.desk.start()
-        self._task = asyncio.create_task(self._run())
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._take_services()),
+        ]
 
     async def close(self) -> None:
         """Stop leading."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for keeper in self._keepers.values():
             await keeper.close()
         await self.desk.close()
@@ -116,7 +121,6 @@
     async def _run(self) -> None:
         planned_at = self._clock()
         while True:
-            await self._take_services()
             for keeper in self._keepers.values():
                 keeper.tick()
                 self.deposed |= keeper.control.deposed
@@ -127,6 +131,11 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
 
     async def _take_services(self) -> None:
+        while True:
+            await self._take_new_services()
+            await asyncio.sleep(_TAKE_INTERVAL_S)
+
+    async def _take_new_services(self) -> None:
         configuration = self._view.configuration
         if configuration is None:
             return
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -151,6 +151,8 @@
         except TimeoutError:
             if attempt.connection is None:
                 return SendFailure(SendOutcome.UNREACHABLE, False, "no connection")
+            # Connections often go silent together.
+            pool.discard_unheard(attempt.sent_at)
             return SendFailure(SendOutcome.TIMEOUT, attempt.wrote, "no answer in time")
         except LOST as error:
             if attempt.connection is None:
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -11,7 +11,8 @@
 
 ROOT = Path(__file__).parent.parent
 PAGES = [
-    name for name in ("docs/proof.md", "docs/measurements.md", "docs/CAPACITY.md")
+    name for name in ("docs/proof.md", "docs/measurements.md", "docs/CAPACITY.md",
+                 "docs/incidents.md", "docs/platform.md")
     if (ROOT / name).exists()
 ]  # fmt: skip
 
