--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -9,10 +9,11 @@
 
 from heapq import heappop, heappush
 from itertools import count
-from typing import TYPE_CHECKING, Protocol, TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
-from attrs import define, field, frozen
+from attrs import define, field
 
+from basilwick.core.dispatch.lanes import Lane, Ticket
 from basilwick.core.dispatch.messages import Refused, Send, SendOutcome
 from basilwick.core.dispatch.retry_window import RetryBounds, RetryWindow
 from basilwick.core.dispatch.server_load import ServerLoad
@@ -22,10 +23,11 @@
     from random import Random
 
     from basilwick.core.dispatch.messages import Ask, Done
+    from basilwick.core.dispatch.owners import KeyOwners
     from basilwick.core.dispatch.site import ServerEntry, SiteView
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
-__all__ = ["Decision", "Dispatcher", "KeyOwner", "KeyOwners", "Share"]
+__all__ = ["Decision", "Dispatcher", "Share"]
 
 #: Work time in seconds assumed before the first answer of a service.
 _UNKNOWN_WORK_S = 0.05
@@ -44,34 +46,6 @@
 Decision: TypeAlias = Send | Refused
 
 
-@frozen
-class KeyOwner:
-    """Owner of a key.
-
-    Attributes
-    ----------
-    server : str or None
-        Owner that serves the key now, None while nobody does.
-    moving : bool
-        Whether the key is being handed to another server.
-    served_in_s : float
-        Seconds until the key is expected to be served, if nobody serves it.
-    """
-
-    server: ServerName | None
-    moving: bool = False
-    served_in_s: float = 0.5
-
-
-class KeyOwners(Protocol):
-    """Knows which server owns a key of a partitioned service."""
-
-    def find_owner(
-        self, service: ServiceName, key: int, now: MonotonicSeconds
-    ) -> KeyOwner:
-        """Return the owner of a key."""
-
-
 @define
 class Share:
     """Part of each server's capacity that a dispatcher may use.
@@ -88,36 +62,6 @@
     rate: float = 1.0
 
 
-@define(eq=False)
-class _Ticket:
-    """A waiting or running request."""
-
-    id: Hashable
-    ask: Ask
-    arrived_at: MonotonicSeconds
-    target_at: MonotonicSeconds
-    deadline: MonotonicSeconds
-    server: ServerName | None = None
-    ended: bool = False
-
-
-@define(eq=False)
-class _Lane:
-    """Requests that wait for the same servers."""
-
-    service: ServiceName
-    owner: ServerName | None
-    on_time: list[tuple[int, float, int, _Ticket]] = field(factory=list)
-    late: list[tuple[float, int, _Ticket]] = field(factory=list)
-
-    def count_ahead(self, priority: int, target_at: float) -> int:
-        """Return the number of requests that are served before a new one."""
-        return sum(
-            (entry[0], entry[1]) <= (priority, target_at) and not entry[3].ended
-            for entry in self.on_time
-        )
-
-
 @define(eq=False)
 class _Service:
     window: RetryWindow
@@ -166,9 +110,9 @@
         self._rng = rng
         self._services: dict[ServiceName, _Service] = {}
         self._loads: dict[ServerName, ServerLoad] = {}
-        self._lanes: dict[tuple[ServiceName, ServerName | None], _Lane] = {}
-        self._tickets: dict[Hashable, _Ticket] = {}
-        self._moving: list[_Ticket] = []
+        self._lanes: dict[tuple[ServiceName, ServerName | None], Lane] = {}
+        self._tickets: dict[Hashable, Ticket] = {}
+        self._moving: list[Ticket] = []
         self._order = count()
 
     def submit(
@@ -180,7 +124,7 @@
             service.window.record_request(now)
         elif not service.window.try_resend(now):
             return Refused(ask.number, _MIN_RETRY_AFTER_S, "retry budget spent")
-        ticket = _Ticket(
+        ticket = Ticket(
             ticket_id, ask, now, now + ask.target_left_s, now + ask.time_left_s
         )
         self._tickets[ticket_id] = ticket
@@ -247,7 +191,7 @@
 
     # Placing
 
-    def _place(self, ticket: _Ticket, now: MonotonicSeconds) -> Decision | None:
+    def _place(self, ticket: Ticket, now: MonotonicSeconds) -> Decision | None:
         ask = ticket.ask
         spec = self._view.get_service(ask.service)
         if spec is None:
@@ -262,7 +206,7 @@
             owner = found.server
         return self._enter_lane(self._get_lane(ask.service, owner), ticket, now)
 
-    def _hold(self, ticket: _Ticket, now: MonotonicSeconds) -> Refused | None:
+    def _hold(self, ticket: Ticket, now: MonotonicSeconds) -> Refused | None:
         usual_s = self._get_service(ticket.ask.service).usual_s
         give_up_at = min(
             ticket.arrived_at + _LONGEST_MOVE_WAIT_S, ticket.deadline - usual_s
@@ -273,7 +217,7 @@
         return None
 
     def _enter_lane(
-        self, lane: _Lane, ticket: _Ticket, now: MonotonicSeconds
+        self, lane: Lane, ticket: Ticket, now: MonotonicSeconds
     ) -> Decision | None:
         if not lane.on_time:
             sent = self._try_send(lane, ticket, now)
@@ -298,7 +242,7 @@
         return self._refuse(ask, wait_s, "no server has room in time")
 
     def _try_send(
-        self, lane: _Lane, ticket: _Ticket, now: MonotonicSeconds
+        self, lane: Lane, ticket: Ticket, now: MonotonicSeconds
     ) -> Send | None:
         server = self._choose_server(lane, ticket, now)
         if server is None:
@@ -308,7 +252,7 @@
         return Send(ticket.ask.number, server.name, server.address)
 
     def _choose_server(
-        self, lane: _Lane, ticket: _Ticket, now: MonotonicSeconds
+        self, lane: Lane, ticket: Ticket, now: MonotonicSeconds
     ) -> ServerEntry | None:
         usual_s = self._get_service(lane.service).usual_s
         best = None
@@ -329,13 +273,13 @@
             self._take_warm_up(best, lane, now)
         return best
 
-    def _may_warm(self, load: ServerLoad, lane: _Lane, now: MonotonicSeconds) -> bool:
+    def _may_warm(self, load: ServerLoad, lane: Lane, now: MonotonicSeconds) -> bool:
         spec = self._view.get_service(lane.service)
         rate = spec.warm_up_rate * self.share.rate
         return load.warm_up.tokens + (now - load.warm_up.updated_at) * rate >= 1.0
 
     def _take_warm_up(
-        self, server: ServerEntry, lane: _Lane, now: MonotonicSeconds
+        self, server: ServerEntry, lane: Lane, now: MonotonicSeconds
     ) -> None:
         spec = self._view.get_service(lane.service)
         rate = spec.warm_up_rate * self.share.rate
@@ -344,7 +288,7 @@
     # Waiting requests
 
     def _serve_lane(
-        self, lane: _Lane, now: MonotonicSeconds
+        self, lane: Lane, now: MonotonicSeconds
     ) -> Iterator[tuple[Hashable, Decision]]:
         work_s = self._estimate_work(lane, now)
         while lane.on_time:
@@ -378,7 +322,7 @@
             yield ticket.id, sent
 
     def _rehome(
-        self, lane: _Lane, now: MonotonicSeconds
+        self, lane: Lane, now: MonotonicSeconds
     ) -> list[tuple[Hashable, Decision]]:
         """Place the requests of a lane again whose keys have another owner now."""
         if lane.owner is None:
@@ -404,7 +348,7 @@
                 decisions.append((ticket.id, self._conclude(ticket, decision)))
         return decisions
 
-    def _conclude(self, ticket: _Ticket, decision: Decision) -> Decision:
+    def _conclude(self, ticket: Ticket, decision: Decision) -> Decision:
         if isinstance(decision, Refused):
             ticket.ended = True
             self._tickets.pop(ticket.id, None)
@@ -418,15 +362,15 @@
 
     # Lookups
 
-    def _find_lane(self, ticket: _Ticket) -> _Lane:
+    def _find_lane(self, ticket: Ticket) -> Lane:
         spec = self._view.get_service(ticket.ask.service)
         keyed = spec is not None and spec.partitioned and ticket.ask.key >= 0
         return self._get_lane(ticket.ask.service, ticket.server if keyed else None)
 
-    def _get_lane(self, service: ServiceName, owner: ServerName | None) -> _Lane:
+    def _get_lane(self, service: ServiceName, owner: ServerName | None) -> Lane:
         lane = self._lanes.get((service, owner))
         if lane is None:
-            lane = self._lanes[service, owner] = _Lane(service, owner)
+            lane = self._lanes[service, owner] = Lane(service, owner)
         return lane
 
     def _get_service(self, name: ServiceName) -> _Service:
@@ -446,7 +390,7 @@
             return server.slots
         return min(server.slots, self.share.slots)
 
-    def _list_servers(self, lane: _Lane, ask: Ask | None = None) -> list[ServerEntry]:
+    def _list_servers(self, lane: Lane, ask: Ask | None = None) -> list[ServerEntry]:
         if lane.owner is not None:
             owner = self._view.get_server(lane.owner)
             return [owner] if owner and self._view.may_use(lane.owner) else []
@@ -462,14 +406,14 @@
             if self._regions.get(server.data_centre) in ask.home_regions
         ]
 
-    def _count_slots(self, lane: _Lane, now: MonotonicSeconds) -> int:
+    def _count_slots(self, lane: Lane, now: MonotonicSeconds) -> int:
         return sum(
             self._get_slots(server)
             for server in self._list_servers(lane)
             if now >= self._get_load(server.name).blocked_until
         )
 
-    def _estimate_work(self, lane: _Lane, now: MonotonicSeconds) -> float:
+    def _estimate_work(self, lane: Lane, now: MonotonicSeconds) -> float:
         usual_s = self._get_service(lane.service).usual_s
         if lane.owner is None:
             return usual_s
--- /dev/null
+++ b/basilwick/core/dispatch/lanes.py
@@ -0,0 +1,45 @@
+"""Requests that wait for servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+    from basilwick.core.dispatch.messages import Ask
+    from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
+
+__all__ = ["Lane", "Ticket"]
+
+
+@define(eq=False)
+class Ticket:
+    """A waiting or running request."""
+
+    id: Hashable
+    ask: Ask
+    arrived_at: MonotonicSeconds
+    target_at: MonotonicSeconds
+    deadline: MonotonicSeconds
+    server: ServerName | None = None
+    ended: bool = False
+
+
+@define(eq=False)
+class Lane:
+    """Requests that wait for the same servers."""
+
+    service: ServiceName
+    owner: ServerName | None
+    on_time: list[tuple[int, float, int, Ticket]] = field(factory=list)
+    late: list[tuple[float, int, Ticket]] = field(factory=list)
+
+    def count_ahead(self, priority: int, target_at: float) -> int:
+        """Return the number of requests that are served before a new one."""
+        return sum(
+            (entry[0], entry[1]) <= (priority, target_at) and not entry[3].ended
+            for entry in self.on_time
+        )
--- /dev/null
+++ b/basilwick/core/ranges/orders.py
@@ -0,0 +1,116 @@
+"""Orders to servers about key ranges, and the times and fences that they carry."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, TypeAlias
+
+from attrs import define, frozen
+
+if TYPE_CHECKING:
+    from basilwick.core.types import ServerName
+
+__all__ = [
+    "FenceBlock",
+    "GrantOrder",
+    "Order",
+    "OrderResult",
+    "OwnerTimes",
+    "ReleaseOrder",
+]
+
+
+class OrderResult(StrEnum):
+    """How a server answered an order."""
+
+    OK = "ok"
+    #: It has seen a higher fence.
+    CONFLICT = "conflict"
+    #: No answer; the order may be carried out later.
+    LOST = "lost"
+    #: The order was not sent, because no connection could be opened.
+    UNSENT = "unsent"
+
+
+@frozen
+class OwnerTimes:
+    """Time limits of the ownership protocol, in seconds.
+
+    Attributes
+    ----------
+    hold_s : float
+        Time for which a grant is in force.
+    renewal_s : float
+        Interval between renewals.
+    order_timeout_s : float
+        Longest wait for an answer to a grant.
+    lease_s : float
+        Time for which a leader may begin and go on with moves after it renewed its
+        lease.
+    autonomy_s : float
+        Time for which a leader goes on renewing without the platform's service.
+    clock_margin : float
+        Largest share by which a server's clock runs slow.
+    slack_s : float
+        Further time granted to delays.
+    """
+
+    hold_s: float = 3.0
+    renewal_s: float = 0.6
+    order_timeout_s: float = 0.6
+    lease_s: float = 2.0
+    autonomy_s: float = 9.0
+    clock_margin: float = 0.02
+    slack_s: float = 0.1
+
+    @property
+    def answered_hold_s(self) -> float:
+        """Longest time from the answer to a grant to its end."""
+        return self.hold_s * (1.0 + self.clock_margin) + self.slack_s
+
+    @property
+    def longest_hold_s(self) -> float:
+        """Longest time from the send of a grant to its end."""
+        return self.order_timeout_s + self.answered_hold_s
+
+
+@define
+class FenceBlock:
+    """Fences that a leader has reserved."""
+
+    following: int
+    end: int
+
+    def take(self) -> int:
+        """Return a fence that was never used."""
+        if self.following >= self.end:
+            raise ValueError(f"all fences below {self.end} are used; reserve more")
+        self.following += 1
+        return self.following - 1
+
+
+@frozen
+class GrantOrder:
+    """Grant of a range to a server."""
+
+    number: int
+    server: ServerName
+    first: int
+    last: int
+    fence: int
+    hold_s: float
+    hand_over: str | None = None
+
+
+@frozen
+class ReleaseOrder:
+    """Request to a server to finish its work on a range."""
+
+    number: int
+    server: ServerName
+    first: int
+    last: int
+    fence: int
+
+
+Order: TypeAlias = GrantOrder | ReleaseOrder
--- a/basilwick/platform/backends.py
+++ b/basilwick/platform/backends.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from basilwick.core.ranges.control import GrantOrder, ReleaseOrder
+    from basilwick.core.ranges.orders import GrantOrder, ReleaseOrder
 
 __all__ = [
     "AnswerMarks",
--- a/basilwick/runtime/fleet/lead_role.py
+++ b/basilwick/runtime/fleet/lead_role.py
@@ -7,7 +7,8 @@
 
 from loguru import logger
 
-from basilwick.core.dispatch.dispatcher import Dispatcher, KeyOwner
+from basilwick.core.dispatch.dispatcher import Dispatcher
+from basilwick.core.dispatch.owners import KeyOwner
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.capacities import OwnerSelection
 from basilwick.runtime.fleet.desk import Desk
@@ -22,7 +23,7 @@
     from basilwick.core.dispatch.messages import Ask
     from basilwick.core.dispatch.retry_window import RetryBounds
     from basilwick.core.dispatch.site import SiteView
-    from basilwick.core.ranges.control import OwnerTimes
+    from basilwick.core.ranges.orders import OwnerTimes
     from basilwick.core.types import MonotonicSeconds, ServiceName
     from basilwick.platform.store import Store
     from basilwick.runtime.fleet.range_keeper import LeaderAuthority
--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -26,7 +26,7 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
-    from basilwick.core.ranges.control import OwnerTimes
+    from basilwick.core.ranges.orders import OwnerTimes
     from basilwick.core.types import MonotonicSeconds, ServiceName
     from basilwick.platform.store import Change, Store
     from basilwick.runtime.fleet.links import LeaderLink
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -13,7 +13,7 @@
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBounds
 from basilwick.core.dispatch.site import SiteView
-from basilwick.core.ranges.control import OwnerTimes
+from basilwick.core.ranges.orders import OwnerTimes
 from basilwick.metrics import FleetMetrics
 from basilwick.platform.backends import read_answer_marks
 from basilwick.platform.store import Store
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -9,12 +9,8 @@
 from orjson import JSONDecodeError, dumps, loads
 
 from basilwick.core.errors import PlatformUnavailableError
-from basilwick.core.ranges.control import (
-    FenceBlock,
-    GrantOrder,
-    OrderResult,
-    RangeControl,
-)
+from basilwick.core.ranges.control import RangeControl
+from basilwick.core.ranges.orders import FenceBlock, GrantOrder, OrderResult
 from basilwick.core.ranges.table import RangeTable, StoredRange
 from basilwick.platform.backends import encode_grant, encode_release
 from basilwick.platform.store import WriteResult
@@ -25,7 +21,7 @@
 
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.ranges.capacities import OwnerSelection
-    from basilwick.core.ranges.control import Order, OwnerTimes
+    from basilwick.core.ranges.orders import Order, OwnerTimes
     from basilwick.core.types import MonotonicSeconds
     from basilwick.platform.store import Store
     from basilwick.transport.server_client import ServerClient
--- a/basilwick/runtime/fleet/routing_port.py
+++ b/basilwick/runtime/fleet/routing_port.py
@@ -8,8 +8,8 @@
 
 from attrs import evolve
 
-from basilwick.core.dispatch.dispatcher import KeyOwner
 from basilwick.core.dispatch.messages import Refused, Send
+from basilwick.core.dispatch.owners import KeyOwner
 from basilwick.runtime.fleet.desk import Desk, PeerPort
 
 if TYPE_CHECKING:
--- a/benchmarks/day_emulator.py
+++ b/benchmarks/day_emulator.py
@@ -28,13 +28,8 @@
     SiteView,
 )
 from basilwick.core.ranges.capacities import OwnerSelection
-from basilwick.core.ranges.control import (
-    FenceBlock,
-    GrantOrder,
-    OrderResult,
-    OwnerTimes,
-    RangeControl,
-)
+from basilwick.core.ranges.control import RangeControl
+from basilwick.core.ranges.orders import FenceBlock, GrantOrder, OrderResult, OwnerTimes
 from basilwick.core.ranges.table import KEYS, RangeTable
 
 __all__ = ["Day", "Load", "play"]
--- a/tests/core/dispatch/test_dispatcher.py
+++ b/tests/core/dispatch/test_dispatcher.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from basilwick.core.dispatch.dispatcher import Dispatcher, KeyOwner, Share
+from basilwick.core.dispatch.dispatcher import Dispatcher, Share
 from basilwick.core.dispatch.messages import Ask, Done, Refused, Send, SendOutcome
+from basilwick.core.dispatch.owners import KeyOwner
 from basilwick.core.dispatch.retry_window import RetryBounds
 from basilwick.core.dispatch.site import (
     ServerEntry,
--- a/tests/core/ranges/ownership_model.py
+++ b/tests/core/ranges/ownership_model.py
@@ -8,13 +8,8 @@
 
 from attrs import define, field
 
-from basilwick.core.ranges.control import (
-    FenceBlock,
-    GrantOrder,
-    OrderResult,
-    OwnerTimes,
-    RangeControl,
-)
+from basilwick.core.ranges.control import RangeControl
+from basilwick.core.ranges.orders import FenceBlock, GrantOrder, OrderResult, OwnerTimes
 from basilwick.core.ranges.placement import Move
 from basilwick.core.ranges.table import KEYS, RangeTable
 
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from ownership_model import BLOCK_KEYS, BLOCKS, build_model
 
-from basilwick.core.ranges.control import GrantOrder, OrderResult, ReleaseOrder
+from basilwick.core.ranges.orders import GrantOrder, OrderResult, ReleaseOrder
 from basilwick.core.ranges.table import Phase
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,7 +6,7 @@
 from orjson import dumps
 
 from basilwick.core.errors import InvalidSettingsError
-from basilwick.core.ranges.control import GrantOrder, ReleaseOrder
+from basilwick.core.ranges.orders import GrantOrder, ReleaseOrder
 from basilwick.core.types import Operation
 from basilwick.platform.backends import (
     encode_grant,
