Keep large bodies in their data centre; look at changes each second

Change: a server elsewhere has to make up for the bytes that cross; instances look at changes each second instead of each 0.8 s.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -40,6 +40,11 @@
 #: Time of a long request in units of the mean one. A queue in which such a request
 #: still ends within its target keeps the slots busy, and a longer one makes all late.
 _WORK_SPREAD = 1.25
+#: Time in seconds for which a byte between data centres makes up. Such bytes are paid
+#: for, so a large body leaves its data centre only for a much quicker server.
+_CROSSING_S_PER_BYTE = 1e-6
+#: Bytes of an answer, which is not known beforehand.
+_ANSWER_BYTES = 5_000
 #: Late requests that may wait, in units of the slots that serve them.
 _LATE_QUEUE_PER_SLOT = 1.0
 
@@ -266,6 +271,8 @@
             score = load.score(usual_s, slots, cold, now)
             if server.name in ticket.ask.tried and lane.owner is None:
                 score += 10.0 * usual_s
+            if server.data_centre != ticket.ask.data_centre:
+                score += (ticket.ask.size + _ANSWER_BYTES) * _CROSSING_S_PER_BYTE
             if score >= best_score or (cold and not self._may_warm(load, lane, now)):
                 continue
             best, best_score = server, score
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -64,6 +64,12 @@
         1 for the first send.
     tried : tuple of str
         Servers that earlier attempts were sent to.
+    home_regions : tuple of str
+        Regions whose servers may run the request; empty for all.
+    data_centre : str
+        Where the request is sent from.
+    size : int
+        Bytes of its body.
     """
 
     number: int
@@ -75,6 +81,8 @@
     attempt: int = 1
     tried: tuple[str, ...] = ()
     home_regions: tuple[str, ...] = ()
+    data_centre: str = ""
+    size: int = 0
 
 
 @frozen
--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -112,6 +112,8 @@
         Decides where requests go.
     client : ServerClient
         Sends them.
+    data_centre : str
+        Where this instance is.
     """
 
     def __init__(
@@ -121,12 +123,14 @@
         client: ServerClient,
         clock: Callable[[], MonotonicSeconds],
         metrics: FleetMetrics,
+        data_centre: str,
     ):
         self._view = view
         self._port = port
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._data_centre = data_centre
         self._routes = RouteTable()
         self._first_attempts = FirstAttempts()
         self._tasks: set[asyncio.Task[Answer]] = set()
@@ -246,6 +250,8 @@
             call.attempts,
             call.tried,
             tuple(call.route.home_regions),
+            self._data_centre,
+            len(call.body) if isinstance(call.body, bytes) else call.body.length or 0,
         )
 
     async def _send(
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -90,7 +90,12 @@
         self._fallback = Desk(fallback, read_clock)
         self._port = RoutingPort(self._link, self._fallback)
         self._path = CallerPath(
-            self._view, self._port, self._client, read_clock, self.metrics
+            self._view,
+            self._port,
+            self._client,
+            read_clock,
+            self.metrics,
+            deployment.data_centre,
         )
         self._times = OwnerTimes()
         if bounds.longest_hold_s < self._times.hold_s:
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -30,7 +30,7 @@
 
 #: Interval in seconds between looks at the changes. Servers write all the time, so a
 #: watch that were repeated at once would take the platform's rate of calls.
-_INTERVAL_S = 0.8
+_INTERVAL_S = 1.0
 #: Longest time in seconds for which a look waits for a change.
 _WAIT_S = 1.0
 #: Bounds in seconds of the random pause after a failed call.
--- a/tests/core/dispatch/test_dispatcher.py
+++ b/tests/core/dispatch/test_dispatcher.py
@@ -212,6 +212,16 @@
     assert {table.submit(make_ask(n)).server for n in (0, 1)} == {"o2"}
 
 
+def test_a_large_body_stays_in_its_data_centre():
+    """Bytes between data centres are paid for."""
+    servers = [make_server(f"a{n}", slots=4) for n in range(2)]
+    servers += [make_server(f"b{n}", slots=4, data_centre="b") for n in range(4)]
+    table = Table(*servers)
+    asks = [make_ask(n, data_centre="a", size=60_000) for n in range(10)]
+    sent = [table.submit(ask).server[0] for ask in asks]
+    assert sent == ["a"] * 8 + ["b"] * 2
+
+
 def test_requests_with_homes_stay_in_their_region():
     table = Table(make_server("o0"), make_server("o1", data_centre="b"))
     asks = [make_ask(n, home_regions=("r2",)) for n in range(3)]
