--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -124,7 +124,7 @@
                 continue
             if item.owner is not None:
                 item.enter(Phase.OWNED, self.taken_over_at)
-            item.held_until = self._get_strange_hold_end()
+            item.held_until = self._get_unreached_hold_end()
 
     # Decisions
 
@@ -145,9 +145,9 @@
             return KeyOwner(None)
         return KeyOwner(None, served_in_s=max(0.2, item.held_until - now))
 
-    def move(self, moves: Sequence[Move], now: MonotonicSeconds) -> int:
-        """Begin moves; returns how many were begun."""
-        begun = 0
+    def move(self, moves: Sequence[Move], now: MonotonicSeconds) -> list[Move]:
+        """Begin moves; returns those that were begun."""
+        begun = []
         for move in moves:
             found = self.table.find(move.first)
             if found.last < move.last or not self._is_settled(found):
@@ -156,7 +156,7 @@
                 continue
             item = self.table.carve(move.first, move.last)
             self._begin_move(item, move.target, now)
-            begun += 1
+            begun.append(move)
         return begun
 
     def assign_free(self, servers: Sequence[ServerName], now: MonotonicSeconds) -> None:
@@ -432,7 +432,7 @@
             and item.serving_until > _NEVER
         )
 
-    def _get_strange_hold_end(self) -> MonotonicSeconds:
+    def _get_unreached_hold_end(self) -> MonotonicSeconds:
         return self.taken_over_at + self.times.autonomy_s + self.times.longest_hold_s
 
     def _next_number(self) -> int:
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -177,8 +177,7 @@
             return
         now = self._clock()
         moves = self.selection.plan(self.control.table, now)
-        begun = self.control.move(moves, now)
-        for move in moves[:begun]:
+        for move in self.control.move(moves, now):
             logger.bind(
                 service=self.service,
                 first=move.first,
