Let the leader read the changes of the platform's service for all instances

Change: the leader looks four times as often and passes the changes on over the links, with the revision and the age of its knowledge in each sign of life.

Tests: a follower makes no look while fed, a leader without the service does not keep it back.

--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -13,10 +13,12 @@
     "Cancel",
     "Done",
     "Hello",
+    "ItemChange",
     "LinkMessage",
     "Refused",
     "SendOutcome",
     "Send",
+    "SharedChanges",
 ]
 
 
@@ -133,9 +135,56 @@
 
 @frozen
 class Beat:
-    """Sign of life of the leader, with the number of linked instances."""
+    """Sign of life of the leader.
+
+    Attributes
+    ----------
+    instances : int
+        Number of linked instances, with the leader.
+    revision : int
+        Revision of the platform's service up to which the leader knows all changes.
+    age_s : float
+        Seconds since the leader had the last answer of that service.
+    own_revision : int
+        Revision of the last change of the instances' own items.
+    """
 
     instances: int
+    revision: int = 0
+    age_s: float = 0.0
+    own_revision: int = 0
+
+
+@frozen
+class ItemChange:
+    """A written item of the platform's service, or a removed key with value None.
+
+    The value's bytes are decoded as Latin-1, which keeps each of them.
+    """
+
+    key: str
+    value: str | None
+    revision: int
+
+
+@frozen
+class SharedChanges:
+    """Changes that the leader has read, without those of the instances' own items.
+
+    Attributes
+    ----------
+    after, revision : int
+        Revisions between which the changes are complete.
+    after_outage : bool
+        Whether the leader had lost the service before.
+    """
+
+    after: int
+    revision: int
+    after_outage: bool
+    changes: tuple[ItemChange, ...]
 
 
-LinkMessage: TypeAlias = Hello | Ask | Cancel | Done | Send | Refused | Beat
+LinkMessage: TypeAlias = (
+    Hello | Ask | Cancel | Done | Send | Refused | Beat | SharedChanges
+)
--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -65,26 +65,37 @@
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
         self.tables: dict[ServiceName, RangeTable] = {}
+        self._table_revisions: dict[ServiceName, int] = {}
 
     def apply(self, change: Change) -> None:
         """Take a change of an own item."""
         if change.key == _LEADER_KEY:
             self._apply_leader(change)
         elif change.key.startswith(_RANGES_PREFIX) and change.value is not None:
-            service = change.key.removeprefix(_RANGES_PREFIX)
-            try:
-                _, stored = decode_ranges(change.value)
-                self.tables[service] = RangeTable.restore(stored)
-            except ValueError as error:
-                logger.bind(key=change.key, reason=str(error)).warning(
-                    "passed over unreadable ranges"
-                )
+            self._apply_ranges(change)
 
-    def keep(self, keys: set[str]) -> None:
-        """Drop the own items that a whole list doesn't name."""
-        if _LEADER_KEY not in keys:
+    def keep(self, keys: set[str], revision: int) -> None:
+        """Drop the own items that a whole list of a revision doesn't name."""
+        if _LEADER_KEY in keys or self.leader is None:
+            return
+        if self.leader.revision <= revision:
             self.leader = None
 
+    def _apply_ranges(self, change: Change) -> None:
+        service = change.key.removeprefix(_RANGES_PREFIX)
+        # A read that may be stale can bring what is known already.
+        if change.revision <= self._table_revisions.get(service, 0):
+            return
+        try:
+            _, stored = decode_ranges(change.value)
+            self.tables[service] = RangeTable.restore(stored)
+        except ValueError as error:
+            logger.bind(key=change.key, reason=str(error)).warning(
+                "passed over unreadable ranges"
+            )
+            return
+        self._table_revisions[service] = change.revision
+
     def _apply_leader(self, change: Change) -> None:
         if self.leader is not None and change.revision < self.leader.revision:
             return
--- a/basilwick/runtime/fleet/links.py
+++ b/basilwick/runtime/fleet/links.py
@@ -16,8 +16,9 @@
     Hello,
     Refused,
     Send,
+    SharedChanges,
 )
-from basilwick.transport.link import Link, connect_link
+from basilwick.transport.link import Link, connect_link, encode_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,6 +36,9 @@
 _SILENT_AFTER_S = 0.35
 #: A link that carried nothing for this long, in seconds, is opened anew.
 _DEAD_AFTER_S = 1.0
+#: Shared changes with more bytes than this are not passed on; the other instances read
+#: them by themselves.
+_MAX_SHARED_BYTES = 256 << 10
 #: Interval in seconds between attempts to reach the leader.
 _RETRY_INTERVAL_S = 0.1
 
@@ -55,6 +59,8 @@
         self._task: asyncio.Task[None] | None = None
         self._links: set[Link] = set()
         self._desk: Desk | None = None
+        #: What the next sign of life tells of the platform's service.
+        self.describe: Callable[[int], Beat] = Beat
 
     @property
     def instances(self) -> int:
@@ -77,6 +83,17 @@
         if self._task is not None:
             self._task.cancel()
 
+    def share(self, changes: SharedChanges) -> None:
+        """Pass changes of the platform's service on to all linked instances."""
+        line = encode_message(changes)
+        if len(line) > _MAX_SHARED_BYTES:
+            logger.bind(bytes=len(line), revision=changes.revision).info(
+                "changes are too large to be passed on"
+            )
+            return
+        for link in list(self._links):
+            link.send_line(line)
+
     def lead(self, desk: Desk | None) -> None:
         """Answer with a desk, or with none any more."""
         self._desk = desk
@@ -98,7 +115,7 @@
         elif isinstance(message, Hello):
             link.peer = message
             self._links.add(link)
-            link.send(Beat(self.instances))
+            link.send(self.describe(self.instances))
             logger.bind(peer=message.instance).info("instance linked")
 
     def _drop(self, link: Link) -> None:
@@ -110,7 +127,7 @@
         while True:
             await asyncio.sleep(BEAT_INTERVAL_S)
             for link in list(self._links):
-                link.send(Beat(self.instances))
+                link.send(self.describe(self.instances))
 
 
 def _reply(link: Link, decision: Decision | None) -> None:
@@ -131,6 +148,8 @@
 
     def __init__(self, hello: Hello, clock: Callable[[], MonotonicSeconds]):
         self._hello = hello
+        self._beat: Beat | None = None
+        self._beat_at: MonotonicSeconds = float("-inf")
         self._clock = clock
         self._address: str | None = None
         self._link: Link | None = None
@@ -141,6 +160,13 @@
         self.instances = 1
         #: Whether the leader's address refused the last connection.
         self.refused = False
+        #: Takes the changes that the leader passes on.
+        self.on_changes: Callable[[SharedChanges], None] | None = None
+
+    @property
+    def beat(self) -> tuple[Beat | None, MonotonicSeconds]:
+        """Last sign of life on a link that is alive, and when it came."""
+        return (self._beat if self.alive else None), self._beat_at
 
     @property
     def alive(self) -> bool:
@@ -198,7 +224,11 @@
             return
         self._heard_at = self._clock()
         if isinstance(message, Beat):
+            self._beat, self._beat_at = message, self._heard_at
             self.instances = message.instances
+        elif isinstance(message, SharedChanges):
+            if self.on_changes is not None:
+                self.on_changes(message)
         elif isinstance(message, Send | Refused):
             reply = self._replies.pop(message.number, None)
             if reply is None:
@@ -209,7 +239,7 @@
     def _drop(self, link: Link) -> None:
         if link is not self._link:
             return
-        self._link = None
+        self._link = self._beat = None
         logger.bind(dependency="leader", address=self._address).warning(
             "lost the link to the leader"
         )
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -74,10 +74,18 @@
         self._state = SharedState()
         self._store = Store(deployment.platform_address, self.metrics.registry)
         self._client = ServerClient(read_clock, read_answer_marks)
-        self._watch = SiteWatch(self._store, self._view, self._state, read_clock, rng)
         self._listener = LinkListener(deployment.link_address)
         hello = Hello(deployment.instance, deployment.data_centre)
         self._link = LeaderLink(hello, read_clock)
+        self._watch = SiteWatch(
+            self._store,
+            self._view,
+            self._state,
+            read_clock,
+            rng,
+            self._link,
+            self._listener,
+        )
         self._rng = rng
         fallback = Dispatcher(
             self._view,
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -5,8 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from attrs import evolve
 from loguru import logger
 
+from basilwick.core.dispatch.feed import Cursor
+from basilwick.core.dispatch.messages import Beat, ItemChange, SharedChanges
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.platform.decoding import (
     CONFIGURATION_KEY,
@@ -25,14 +28,26 @@
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.types import MonotonicSeconds
     from basilwick.platform.store import Store
+    from basilwick.runtime.fleet.links import LeaderLink, LinkListener
 
 __all__ = ["SiteWatch", "StateObserver"]
 
-#: Interval in seconds between looks at the changes. Servers write all the time, so a
-#: watch that were repeated at once would take the platform's rate of calls.
+#: Interval in seconds between looks at the changes by an instance that nobody feeds. A
+#: fleet that repeated them at once would take the platform's rate of calls.
 _INTERVAL_S = 1.0
+#: The same for the leader, which feeds the others.
+_LEADER_INTERVAL_S = 0.25
 #: Longest time in seconds for which a look waits for a change.
 _WAIT_S = 1.0
+#: The same for the leader, below the age up to which its changes count as complete.
+_LEADER_WAIT_S = 0.7
+#: Interval in seconds at which an instance checks whether the leader feeds it.
+_FEED_CHECK_S = 0.1
+#: Shortest interval in seconds between an instance's reads of the own items while the
+#: leader feeds it. They serve when the leader is lost.
+_OWN_INTERVAL_S = 2.0
+#: Age in seconds that is told of a service that never answered.
+_LONGEST_AGE_S = 3600.0
 #: Bounds in seconds of the random pause after a failed call.
 _MIN_PAUSE_S = 0.15
 _MAX_PAUSE_S = 0.4
@@ -46,8 +61,8 @@
     def apply(self, change: Change) -> None:
         """Take a change of an own item."""
 
-    def keep(self, keys: set[str]) -> None:
-        """Drop the own items that a whole list doesn't name."""
+    def keep(self, keys: set[str], revision: int) -> None:
+        """Drop the own items that a whole list of a revision doesn't name."""
 
 
 class SiteWatch:
@@ -65,6 +80,10 @@
         Local clock in seconds.
     rng : random.Random
         Spreads the calls of the instances.
+    link : LeaderLink
+        Brings the changes that the leader has read.
+    listener : LinkListener
+        Passes changes on while this instance leads.
     """
 
     def __init__(
@@ -74,17 +93,28 @@
         observer: StateObserver,
         clock: Callable[[], MonotonicSeconds],
         rng: Random,
+        link: LeaderLink,
+        listener: LinkListener,
     ):
         self._store = store
         self._view = view
         self._observer = observer
         self._clock = clock
         self._rng = rng
-        self._revision: int | None = None
+        self._link = link
+        self._listener = listener
+        link.on_changes = self._take_shared
+        listener.describe = self._describe
+        self._cursor = Cursor()
         self._task: asyncio.Task[None] | None = None
-        #: Local time at which the last successful call was sent.
-        self.contact_at: MonotonicSeconds = float("-inf")
+        #: Local time of the last answer.
+        self._answered_at: MonotonicSeconds = float("-inf")
         self._failing = False
+        #: Revision of the last known change of an own item.
+        self._own_revision = 0
+        #: Revision up to which all changes of own items are known.
+        self._own_known = 0
+        self._own_read_at: MonotonicSeconds = float("-inf")
 
     async def start(self) -> None:
         """Begin to read."""
@@ -100,22 +130,58 @@
         while True:
             sent_at = self._clock()
             try:
-                if self._revision is None:
-                    await self._list_all()
-                else:
-                    await self._read_changes()
+                interval_s = await self._look(sent_at)
             except HistoryLostError as error:
-                logger.bind(revision=self._revision, reason=str(error)).warning(
+                logger.bind(revision=self._cursor.revision, reason=str(error)).warning(
                     "history of the platform's service is lost; listing all items"
                 )
-                self._revision = None
+                self._cursor.revision = None
                 continue
             except PlatformUnavailableError as error:
                 self._note_failure(error)
                 await asyncio.sleep(self._rng.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S))
                 continue
-            self._note_contact(sent_at)
-            await asyncio.sleep(max(0.0, sent_at + _INTERVAL_S - self._clock()))
+            await asyncio.sleep(max(0.0, sent_at + interval_s - self._clock()))
+
+    async def _look(self, now: MonotonicSeconds) -> float:
+        """Read what is new; returns the interval to the next look in seconds."""
+        beat, heard_at = self._link.beat
+        if self._cursor.is_fed(beat, heard_at, now):
+            await self._follow(beat, now)
+            return _FEED_CHECK_S
+        feeding = self._listener.instances > 1
+        if self._cursor.revision is None:
+            await self._list_all()
+        else:
+            if self._own_known < self._cursor.revision:
+                await self._read_own_items(stale=False)
+            await self._read_changes(_LEADER_WAIT_S if feeding else _WAIT_S)
+        self._answered_at = self._clock()
+        self._note_regained()
+        return _LEADER_INTERVAL_S if feeding else _INTERVAL_S
+
+    async def _follow(self, beat: Beat, now: MonotonicSeconds) -> None:
+        """Read only what the leader doesn't pass on."""
+        if self._failing:
+            self._failing = False
+            logger.bind(dependency="platform", revision=self._cursor.revision).info(
+                "the leader passes on the changes of the platform's service"
+            )
+        if beat.own_revision <= self._own_known:
+            return
+        if now - self._own_read_at < _OWN_INTERVAL_S:
+            return
+        self._own_read_at = now
+        try:
+            await self._read_own_items(stale=True)
+        except PlatformUnavailableError as error:
+            logger.bind(reason=str(error)).debug("own items not read")
+
+    def _describe(self, instances: int) -> Beat:
+        """Return the sign of life that this instance gives as the leader."""
+        age_s = min(self._clock() - self._answered_at, _LONGEST_AGE_S)
+        revision = self._cursor.revision or 0
+        return Beat(instances, revision, round(age_s, 3), self._own_revision)
 
     def _note_failure(self, error: PlatformUnavailableError) -> None:
         if not self._failing:
@@ -124,12 +190,11 @@
                 "lost the platform's service"
             )
 
-    def _note_contact(self, sent_at: MonotonicSeconds) -> None:
-        self.contact_at = sent_at
+    def _note_regained(self) -> None:
         if self._failing:
             self._failing = False
             self._view.note_platform_back(self._clock())
-            logger.bind(dependency="platform", revision=self._revision).info(
+            logger.bind(dependency="platform", revision=self._cursor.revision).info(
                 "regained the platform's service"
             )
 
@@ -145,18 +210,67 @@
         out = _list_names(keys, OUT_PREFIX)
         for data_centre in self._view.data_centres_out - out:
             self._view.set_out(data_centre, False, now)
-        self._observer.keep(
-            {key for key in keys if key.startswith(self._observer.prefix)}
-        )
-        self._revision = revision
+        self._keep_own(keys, revision)
+        self._cursor.advance(revision)
 
-    async def _read_changes(self) -> None:
-        changes = await self._store.watch("", self._revision, _WAIT_S, "watch all")
-        if self._failing:
+    async def _read_own_items(self, stale: bool) -> None:
+        """Read the items that the instances keep, which the leader doesn't pass on."""
+        items, revision = await self._store.list_items(
+            self._observer.prefix, "list own items", stale
+        )
+        for item in items:
+            self._apply(Change(item.key, item.value, item.revision))
+        self._keep_own({item.key for item in items}, revision)
+
+    def _keep_own(self, keys: set[str], revision: int) -> None:
+        own = {key for key in keys if self._is_own(key)}
+        self._observer.keep(own, revision)
+        self._own_known = max(self._own_known, revision)
+
+    async def _read_changes(self, wait_s: float) -> None:
+        after = self._cursor.revision
+        read = await self._store.watch("", after, wait_s, "watch all")
+        after_outage = self._failing
+        if after_outage:
+            self._view.note_platform_back(self._clock())
+        last = _keep_last(read.changes)
+        # The leader may have passed on later changes meanwhile.
+        known = self._cursor.revision
+        for change in last:
+            if change.revision > known or self._is_own(change.key):
+                self._apply(change)
+        if self._own_known >= after:
+            self._own_known = max(self._own_known, read.revision)
+        if read.revision > after:
+            self._share(SharedChanges(after, read.revision, after_outage, ()), last)
+        self._cursor.advance(read.revision)
+
+    def _is_own(self, key: str) -> bool:
+        return key.startswith(self._observer.prefix)
+
+    def _share(self, shared: SharedChanges, changes: Sequence[Change]) -> None:
+        """Pass changes on, which does nothing unless this instance leads."""
+        if self._listener.instances == 1:
+            return
+        rows = [
+            ItemChange(
+                change.key,
+                None if change.value is None else change.value.decode("latin-1"),
+                change.revision,
+            )
+            for change in changes
+            if not self._is_own(change.key)
+        ]
+        self._listener.share(evolve(shared, changes=tuple(rows)))
+
+    def _take_shared(self, shared: SharedChanges) -> None:
+        """Apply changes that the leader has passed on."""
+        changes = self._cursor.take(shared)
+        if changes and shared.after_outage:
             self._view.note_platform_back(self._clock())
-        for change in _keep_last(changes.changes):
-            self._apply(change)
-        self._revision = max(self._revision, changes.revision)
+        for change in changes:
+            value = None if change.value is None else change.value.encode("latin-1")
+            self._apply(Change(change.key, value, change.revision))
 
     def _apply(self, change: Change) -> None:
         key = change.key
@@ -167,7 +281,8 @@
                 self._apply_server(change)
             elif key.startswith(OUT_PREFIX):
                 self._apply_out(change)
-            elif key.startswith(self._observer.prefix):
+            elif self._is_own(key):
+                self._own_revision = max(self._own_revision, change.revision)
                 self._observer.apply(change)
         except UnreadableEntryError as error:
             logger.bind(key=key, revision=change.revision, reason=str(error)).warning(
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -19,9 +19,11 @@
     Cancel,
     Done,
     Hello,
+    ItemChange,
     Refused,
     Send,
     SendOutcome,
+    SharedChanges,
 )
 
 if TYPE_CHECKING:
@@ -39,12 +41,13 @@
     "hello": Hello,
     "refused": Refused,
     "send": Send,
+    "shared": SharedChanges,
 }
 _TAGS = {kind: tag for tag, kind in _TYPES.items()}
 _NAMES = {kind: [f.name for f in list_fields(kind)] for kind in _TYPES.values()}
 #: A peer that leaves this many bytes unread is given up.
 _MAX_UNREAD_BYTES = 1 << 20
-_MAX_LINE_BYTES = 64 << 10
+_MAX_LINE_BYTES = 1 << 20
 #: Longest time in seconds to open a connection.
 _CONNECT_TIMEOUT_S = 0.4
 
@@ -53,6 +56,8 @@
     """Return a message as a line."""
     kind = type(message)
     values: list[Any] = [getattr(message, name) for name in _NAMES[kind]]
+    if kind is SharedChanges:
+        values[-1] = [(c.key, c.value, c.revision) for c in message.changes]
     return dumps([_TAGS[kind], *values]) + b"\n"
 
 
@@ -69,6 +74,8 @@
         kind = _TYPES[tag]
         if kind is Done:
             values[1] = SendOutcome(values[1])
+        elif kind is SharedChanges:
+            values[-1] = tuple(ItemChange(*row) for row in values[-1])
         return kind(*values)
     except (KeyError, TypeError, ValueError) as error:
         raise ValueError(f"no message of a link: {line[:100]!r}") from error
@@ -121,13 +128,17 @@
 
     def send(self, message: LinkMessage) -> None:
         """Send a message; does nothing on a link that has ended."""
+        self.send_line(encode_message(message))
+
+    def send_line(self, line: bytes) -> None:
+        """Send an encoded message; does nothing on a link that has ended."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         if transport.get_write_buffer_size() > _MAX_UNREAD_BYTES:
             transport.abort()
             return
-        transport.write(encode_message(message))
+        transport.write(line)
 
     def close(self) -> None:
         """Close without sending what is buffered."""
--- a/tests/runtime/fleet/test_fleet.py
+++ b/tests/runtime/fleet/test_fleet.py
@@ -9,6 +9,8 @@
 import pytest_asyncio
 from fleet_site import ORDER, FleetSite, make_configuration
 
+from basilwick.core.errors import PlatformUnavailableError
+
 
 @pytest_asyncio.fixture
 async def site():
@@ -236,3 +238,41 @@
     await site.store.put("servers/none", "no object")
     await asyncio.sleep(1.2)
     assert (await site.order()).status == 200
+
+
+async def test_the_leader_reads_changes_for_all_instances(site):
+    """Each instance looked at the store each second, in proportion to the fleet."""
+    leader = site.find_leader()
+    (other,) = [m for m in site.members if m is not leader]
+    await wait_until(lambda: other._link.beat[0] is not None)
+    await asyncio.sleep(2.5)
+    calls = count_watches(other)
+    await site.store.put("op/config", make_configuration(9))
+    await wait_until(lambda: other._view.configuration.version == 9, 1.0)
+    await asyncio.sleep(2.0)
+    assert count_watches(other) - calls == 0
+
+
+async def test_instances_read_by_themselves_when_the_leader_lost_the_store(site):
+    """Its signs of life must not keep them on an old configuration."""
+    leader = site.find_leader()
+    (other,) = [m for m in site.members if m is not leader]
+
+    async def fail(*_, **__):
+        raise PlatformUnavailableError("cut off; nothing is read")
+
+    leader._store.watch = leader._store.list_items = fail
+    await asyncio.sleep(1.0)
+    await site.store.put("op/config", make_configuration(9))
+    await wait_until(lambda: other._view.configuration.version == 9, 2.0)
+    assert leader._view.configuration.version == 1
+
+
+def count_watches(member):
+    """Return the calls with which an instance has read changes by itself."""
+    samples = [s for m in member._store._calls.collect() for s in m.samples]
+    return sum(
+        s.value
+        for s in samples
+        if s.name.endswith("_total") and s.labels["cause"] == "watch all"
+    )
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -12,9 +12,11 @@
     Cancel,
     Done,
     Hello,
+    ItemChange,
     Refused,
     Send,
     SendOutcome,
+    SharedChanges,
 )
 from basilwick.transport.link import (
     Link,
@@ -33,7 +35,9 @@
         Done(4, SendOutcome.SHED, 0.5),
         Send(5, "s", "10.0.0.1:1"),
         Refused(6, 0.5, "no room"),
-        Beat(10),
+        Beat(10, 7, 0.25, 3),
+        SharedChanges(4, 6, True, (ItemChange("k", "\x00\xff", 5),)),
+        SharedChanges(4, 6, False, (ItemChange("k", None, 6),)),
     ],
 )
 def test_a_message_comes_back_as_it_was(message):
@@ -42,6 +46,12 @@
     assert encode_message(decoded) == encode_message(message)
 
 
+def test_shared_changes_keep_every_byte():
+    value = bytes(range(256)).decode("latin-1")
+    message = SharedChanges(4, 6, True, (ItemChange("k", value, 5),))
+    assert decode_message(encode_message(message)) == message
+
+
 @pytest.mark.parametrize(
     "line", [b"", b"{}", b"[]", b'["odd"]', b'["beat"]', b'["done",1,"odd",0.1]', b"x"]
 )
