--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -43,6 +43,8 @@
         them, "stray" sends another answer before its own, "fail" answers status 500.
     runs : list of Run
         Requests that ran, shared by the servers of a test.
+    public_address : str
+        Address that it registers, "" for its own; a proxy may be in front of it.
     """
 
     name: str
@@ -56,6 +58,7 @@
     work_s: float = 0.02
     trouble: str = ""
     address: str = "127.0.0.1:0"
+    public_address: str = ""
     leaving: bool = False
     running: int = 0
     waiting: int = 0
@@ -98,7 +101,7 @@
             f"servers/{self.name}",
             {
                 "service": self.service,
-                "address": self.address,
+                "address": self.public_address or self.address,
                 "zone": self.data_centre,
                 "version": "v1",
                 "slots": self.slots,
--- a/basilwick/testing.py
+++ b/basilwick/testing.py
@@ -8,7 +8,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from hashlib import sha256
 from random import SystemRandom
-from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from time import monotonic
 from typing import TYPE_CHECKING, Any
@@ -136,6 +136,11 @@
         assert self._process is not None, "call start first"
         self._process.send_signal(SIGCONT)
 
+    def reload(self) -> None:
+        """Tell the process that its settings changed."""
+        assert self._process is not None, "call start first"
+        self._process.send_signal(SIGHUP)
+
     async def kill(self) -> None:
         """End the process without warning."""
         await self._end(SIGKILL, 5.0)
--- /dev/null
+++ b/benchmarks/soak/faults.py
@@ -0,0 +1,202 @@
+"""Faults that a soak injects from outside the instances."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, frozen
+
+from basilwick.fakes.proxy import LinkFault
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from benchmarks.soak.site import Instance, SoakSite
+
+__all__ = ["PLANNED", "Fault", "draw_faults", "inject"]
+
+#: Faults that are planned work: no request may be lost around them.
+PLANNED = frozenset({"stop", "reload", "drain", "configure", "evacuate"})
+_LINK_FAULTS = tuple(f for f in LinkFault if f is not LinkFault.NONE)
+_SERVER_TROUBLES = ("lose", "shed", "stray", "fail")
+_PAUSE_BETWEEN_S = 0.4
+
+
+@frozen
+class Fault:
+    """One fault of a soak.
+
+    Attributes
+    ----------
+    at_s, for_s : float
+        Begin and length in seconds.
+    where : int
+        Chooses the instance or server.
+    how : str
+        Variant, "" for none.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+    where: int
+    how: str = ""
+
+
+@define(eq=False)
+class _Target:
+    site: SoakSite
+    fault: Fault
+
+    @property
+    def instance(self) -> Instance:
+        return self.site.instances[self.fault.where % len(self.site.instances)]
+
+    @property
+    def slot(self) -> str:
+        return sorted(self.site.slots)[self.fault.where % len(self.site.slots)]
+
+
+def draw_faults(
+    rng: Random, length_s: float, pause_s: float, planned_only: bool = False
+) -> list[Fault]:
+    """Return the faults of a soak; several may overlap.
+
+    Parameters
+    ----------
+    pause_s : float
+        Mean time in seconds between the begins of two faults.
+    planned_only : bool
+        Whether only planned work is done.
+    """
+    kinds = sorted(PLANNED if planned_only else _ACTIONS)
+    faults = []
+    at_s = rng.uniform(0.0, pause_s)
+    while at_s < length_s:
+        kind = rng.choice(kinds)
+        how = ""
+        if kind in ("store_link", "server_link"):
+            how = rng.choice(_LINK_FAULTS).value
+        elif kind == "trouble":
+            how = rng.choice(_SERVER_TROUBLES)
+        for_s = min(rng.choice((0.3, 1.0, 2.5, 5.0)), length_s - at_s)
+        faults.append(Fault(kind, at_s, for_s, rng.randrange(1000), how))
+        at_s += rng.expovariate(1.0 / pause_s)
+    return faults
+
+
+async def inject(site: SoakSite, fault: Fault) -> None:
+    """Bring a fault about and end it."""
+    await _ACTIONS[fault.kind](_Target(site, fault))
+
+
+async def _kill(target: _Target) -> None:
+    process = target.instance.process
+    await process.kill()
+    await asyncio.sleep(_PAUSE_BETWEEN_S)
+    if not process.running:
+        await process.start()
+
+
+async def _stop(target: _Target) -> None:
+    process = target.instance.process
+    process.resume()
+    await process.stop(6.0)
+    await asyncio.sleep(_PAUSE_BETWEEN_S)
+    if not process.running:
+        await process.start()
+
+
+async def _pause(target: _Target) -> None:
+    process = target.instance.process
+    if not process.running:
+        return
+    process.pause()
+    await asyncio.sleep(target.fault.for_s)
+    if process.running:
+        process.resume()
+
+
+async def _reload(target: _Target) -> None:
+    if target.instance.process.running:
+        target.instance.process.reload()
+
+
+async def _store_down(target: _Target) -> None:
+    target.site.store.down = True
+    await asyncio.sleep(target.fault.for_s)
+    target.site.store.down = False
+
+
+async def _store_answers_lost(target: _Target) -> None:
+    target.site.store.lose_answers = True
+    await asyncio.sleep(target.fault.for_s)
+    target.site.store.lose_answers = False
+
+
+async def _store_forgets(target: _Target) -> None:
+    target.site.store.forget_history()
+
+
+async def _break_link(proxy: object, target: _Target) -> None:
+    proxy.set_fault(LinkFault(target.fault.how))
+    await asyncio.sleep(target.fault.for_s)
+    proxy.set_fault(LinkFault.NONE)
+
+
+async def _store_link(target: _Target) -> None:
+    await _break_link(target.instance.store_proxy, target)
+
+
+async def _server_link(target: _Target) -> None:
+    await _break_link(target.site.proxies[target.slot], target)
+
+
+async def _trouble(target: _Target) -> None:
+    server = target.site.slots[target.slot]
+    server.trouble = target.fault.how
+    await asyncio.sleep(target.fault.for_s)
+    server.trouble = ""
+
+
+async def _drain(target: _Target) -> None:
+    if not target.site.slots[target.slot].leaving:
+        await target.site.drain_server(target.slot)
+
+
+async def _crash(target: _Target) -> None:
+    server = target.site.slots[target.slot]
+    if not server.leaving:
+        # The flag keeps other faults away from a server that is gone.
+        server.leaving = True
+        await target.site.crash_server(target.slot)
+
+
+async def _configure(target: _Target) -> None:
+    await target.site.change_configuration(2500 + target.fault.where)
+
+
+async def _evacuate(target: _Target) -> None:
+    await target.site.store.put("op/evacuate/b", {})
+    await asyncio.sleep(target.fault.for_s)
+    await target.site.store.remove("op/evacuate/b")
+
+
+_ACTIONS: dict[str, Callable[[_Target], Awaitable[None]]] = {
+    "kill": _kill,
+    "stop": _stop,
+    "pause": _pause,
+    "reload": _reload,
+    "store_down": _store_down,
+    "store_answers_lost": _store_answers_lost,
+    "store_forgets": _store_forgets,
+    "store_link": _store_link,
+    "server_link": _server_link,
+    "trouble": _trouble,
+    "drain": _drain,
+    "crash": _crash,
+    "configure": _configure,
+    "evacuate": _evacuate,
+}
--- /dev/null
+++ b/benchmarks/soak/site.py
@@ -0,0 +1,226 @@
+"""The site of a soak: real instances, and stand-ins for all that they speak to."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from basilwick.fakes.key_server import KeyServer, Run
+from basilwick.fakes.kv_service import KvService
+from basilwick.fakes.proxy import FaultProxy
+from basilwick.testing import take_ports
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from basilwick.testing import ManagedProcess, ProcessGroup
+
+__all__ = ["DATA_CENTRES", "HOST", "KEYS", "Instance", "RunLog", "SoakSite"]
+
+HOST = "site.example"
+DATA_CENTRES = ("a", "b")
+#: Keys that callers use, spread over all keys.
+KEYS = tuple(range(512, 65_536, 4096))
+#: Grace of a stopped process, in seconds.
+_STOP_S = 6
+_ROUTE = {"host": HOST, "targetLatencyMs": 300, "priority": 1, "maxAttempts": 2}
+
+
+@define(eq=False)
+class Instance:
+    """A real instance and its way to the key-value service."""
+
+    name: str
+    caller: str
+    ready: str
+    process: ManagedProcess
+    store_proxy: FaultProxy
+
+
+@define(eq=False)
+class RunLog:
+    """Runs of all servers, with the holders of the key when each began."""
+
+    site: SoakSite
+    runs: list[Run] = field(factory=list)
+    holders: list[frozenset[str]] = field(factory=list)
+
+    def append(self, run: Run) -> None:
+        """Record a run; servers call this as on a list."""
+        key = int(run.target.rpartition("/")[2])
+        self.runs.append(run)
+        self.holders.append(self.site.find_holders(key))
+
+
+@define(eq=False)
+class SoakSite:
+    """Starts and closes everything.
+
+    Attributes
+    ----------
+    slots : dict of str to KeyServer
+        Present server of each slot; the next one of a slot has another name.
+    """
+
+    directory: Path
+    group: ProcessGroup
+    instances_count: int = 4
+    store: KvService = field(factory=KvService)
+    log: RunLog = field(init=False)
+    instances: list[Instance] = field(factory=list)
+    slots: dict[str, KeyServer] = field(factory=dict)
+    proxies: dict[str, FaultProxy] = field(factory=dict)
+    _version: int = 0
+    _lives: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.log = RunLog(self)
+
+    async def start(self) -> None:
+        """Start the stand-ins and the instances."""
+        await self.store.start()
+        await self.change_configuration(3000)
+        for index in range(6):
+            await self.add_server(f"maps-{index}")
+        for index in range(4):
+            await self.add_server(f"desk-{index}")
+        for index in range(self.instances_count):
+            await self._add_instance(index)
+
+    async def close(self) -> None:
+        """Close the stand-ins; the group ends the processes."""
+        for instance in self.instances:
+            await instance.store_proxy.close()
+        for slot in list(self.slots):
+            await self.end_server(slot)
+        await self.store.close()
+
+    async def change_configuration(self, timeout_ms: int) -> None:
+        """Write the next version, with another route time-out."""
+        self._version += 2
+        routes = {
+            "read": {"pathPrefix": "/read/", "kind": "safe", "service": "maps"},
+            "order": {"pathPrefix": "/order/", "kind": "unsafe", "service": "desk"},
+        }
+        entries = [
+            ("routes", name, {**_ROUTE, "timeoutMs": timeout_ms, **route})
+            for name, route in routes.items()
+        ]
+        entries += [
+            (
+                "services",
+                name,
+                {
+                    "healthCheckPath": "/health",
+                    "maxConnections": 120,
+                    "warmupS": 1.0,
+                    "warmupPerS": 19.0,
+                    "sharded": name == "maps",
+                    "warmS": 1.0,
+                },
+            )
+            for name in ("maps", "desk")
+        ]
+        entries.append(("limits", "", {"maxBodyBytes": 1 << 20}))
+        resources = [
+            {"resourceKind": kind, "metadata": {"name": name}, "specification": spec}
+            for kind, name, spec in entries
+        ]
+        await self.store.put(
+            "op/config", {"version": f"r{self._version}", "resources": resources}
+        )
+
+    async def add_server(self, slot: str) -> None:
+        """Start a server in a slot, behind a proxy of its own."""
+        self._lives += 1
+        service = slot.partition("-")[0]
+        server = KeyServer(
+            f"{slot}-{self._lives}",
+            service,
+            DATA_CENTRES[len(self.slots) % 2],
+            self.store,
+            self.log,
+            partitioned=service == "maps",
+            work_s=0.03,
+        )
+        await server.start()
+        proxy = FaultProxy(server.address)
+        await proxy.start()
+        server.public_address = proxy.address
+        await server.register()
+        self.slots[slot], self.proxies[slot] = server, proxy
+
+    async def drain_server(self, slot: str) -> None:
+        """Let the server of a slot leave as planned, and start another one."""
+        server = self.slots[slot]
+        server.leaving = True
+        await server.register()
+        await asyncio.sleep(2.5)
+        await self.end_server(slot)
+        await self.store.remove(f"servers/{server.name}")
+        await self.add_server(slot)
+
+    async def crash_server(self, slot: str) -> None:
+        """End the server of a slot without a word, and start another one."""
+        server = self.slots[slot]
+        await self.end_server(slot)
+        await asyncio.sleep(2.6)
+        await self.store.remove(f"servers/{server.name}")
+        await self.add_server(slot)
+
+    async def end_server(self, slot: str) -> None:
+        """Close the server of a slot and its proxy."""
+        await self.proxies[slot].close()
+        await self.slots[slot].close()
+
+    def find_holders(self, key: int) -> frozenset[str]:
+        """Return the servers that hold a key now."""
+        servers = self.slots.values()
+        return frozenset(s.name for s in servers if s.partitioned and s.holds(key))
+
+    async def _add_instance(self, index: int) -> None:
+        caller, ready, first, _ = take_ports(4)
+        # The second internal port follows the first one.
+        proxy = FaultProxy(self.store.address)
+        await proxy.start()
+        name = f"i{index}"
+        path = self.directory / f"{name}.toml"
+        path.write_text(
+            _write_settings(name, DATA_CENTRES[index % 2], caller, ready, first, proxy)
+        )
+        process = await self.group.start("join", "--settings", path)
+        self.instances.append(
+            Instance(name, f"127.0.0.1:{caller}", f"127.0.0.1:{ready}", process, proxy)
+        )
+
+
+def _write_settings(
+    name: str,
+    data_centre: str,
+    caller: int,
+    ready: int,
+    first: int,
+    proxy: FaultProxy,
+) -> str:
+    zones = "\n".join(f'{zone} = "region"' for zone in DATA_CENTRES)
+    return f"""
+[localNode]
+nodeName = "{name}"
+zone = "{data_centre}"
+ipAddress = "127.0.0.1"
+[network]
+internalPortRange = [{first}, {first + 1}]
+[network.listenAddresses]
+frontendAddress = "127.0.0.1:{caller}"
+ready = "127.0.0.1:{ready}"
+[network.zones]
+{zones}
+[platform.platform]
+address = "{proxy.address}"
+[terms.bounds]
+gracePeriodS = {_STOP_S}
+drainTimeoutMs = 2000
+maxHoldMs = 10000
+"""
