--- a/basilwick/transport/listener.py
+++ b/basilwick/transport/listener.py
@@ -63,7 +63,7 @@
         address: str,
         service: RequestService,
         clock: Callable[[], MonotonicSeconds],
-        max_body_bytes: int,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     ):
         self._service = service
         self._clock = clock
@@ -132,15 +132,6 @@
         Largest request body.
     """
 
-    def __init__(
-        self,
-        address: str,
-        service: RequestService,
-        clock: Callable[[], MonotonicSeconds],
-        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
-    ):
-        super().__init__(address, service, clock, max_body_bytes)
-
     async def _serve(self, raw: BaseRequest) -> RawResponse:
         path = raw.raw_path
         if not path.startswith("/v1/"):
