--- a/basilwick/cli/main.py
+++ b/basilwick/cli/main.py
@@ -16,6 +16,7 @@
     "check": "basilwick.cli.serve",
     "demo": "basilwick.cli.demo",
     "explain": "basilwick.cli.status",
+    "explain-request": "basilwick.cli.explain_request",
     "fake": "basilwick.cli.fake",
     "join": "basilwick.cli.join",
     "record": "basilwick.cli.record",
@@ -32,7 +33,7 @@
     def get_command(self, ctx: Context, name: str) -> Command | None:
         if name not in _MODULES:
             return None
-        return getattr(import_module(_MODULES[name]), name)
+        return getattr(import_module(_MODULES[name]), name.replace("-", "_"))
 
 
 @group(cls=_Commands)
