--- a/basilwick/cli/explain_request.py
+++ b/basilwick/cli/explain_request.py
@@ -90,13 +90,26 @@
     for line in history.answers:
         echo(_format(line))
     echo(f"events around it: {len(history.events)}")
-    for line in history.events:
-        echo(f"  {_format(line)}")
+    for line, number in _fold(history.events):
+        echo(f"  {_format(line)}" + (f" ({number} lines alike)" if number > 1 else ""))
     echo(f"other failures at that time: {sum(history.failures.values())}")
     for reason, number in sorted(history.failures.items(), key=lambda item: -item[1]):
         echo(f"  {number} {reason}")
 
 
+def _fold(lines: list[LogLine]) -> list[tuple[LogLine, int]]:
+    """Return the first of the lines that differ in their time only, with their number.
+
+    Each instance writes a line when it learns something.
+    """
+    folded: dict[bytes, tuple[LogLine, int]] = {}
+    for line in lines:
+        alike = dumps({k: v for k, v in line.items() if k != "time"})
+        first, number = folded.get(alike, (line, 0))
+        folded[alike] = first, number + 1
+    return list(folded.values())
+
+
 def _format(line: LogLine) -> str:
     time = datetime.fromtimestamp(line["time"], UTC).isoformat(timespec="milliseconds")
     rest = [f"{k}={v}" for k, v in line.items() if k not in _LEADING_FIELDS]
--- a/tests/cli/test_explain_request.py
+++ b/tests/cli/test_explain_request.py
@@ -34,7 +34,8 @@
         "message": "order without effect",
     }
     first.write_bytes(b"Traceback of a library\n" + dumps(answer) + b"\n")
-    second.write_bytes(dumps(lost) + b"\n[1]\n")
+    again = {**lost, "time": 99.5}
+    second.write_bytes(dumps(lost) + b"\n[1]\n" + dumps(again) + b"\n")
     return [str(first), str(second)]
 
 
@@ -42,7 +43,8 @@
     result = CliRunner().invoke(main, ["explain-request", "q1", *logs])
     assert result.exit_code == 0
     assert "reason=key has no live owner" in result.stdout
-    assert "order without effect" in result.stdout
+    assert result.stdout.count("order without effect") == 1
+    assert "2 lines alike" in result.stdout
     assert "passed over 1 lines" in result.stderr
 
 
