Keep changes that the leader passes on while all items are listed

Cause: an instance that listed all items after an outage took changes from the leader meanwhile; the older list then removed a server that had registered since, and the advanced revision kept later looks from bringing it back. Change: nothing is taken from the leader until the list is applied.

Measured: test_a_change_passed_on_during_a_list_is_not_lost fails without the change.

--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -156,7 +156,10 @@
             await self._follow(beat, now)
             return _FEED_CHECK_S
         feeding = self._listener.instances > 1
-        if self._cursor.revision is None or now - self._current_at > _RELIST_AFTER_S:
+        if now - self._current_at > _RELIST_AFTER_S:
+            # Changes that the leader passes on meanwhile are not in the list.
+            self._cursor.revision = None
+        if self._cursor.revision is None:
             await self._list_all()
         else:
             if self._own_known < self._cursor.revision:
