--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -21,7 +21,10 @@
 PLANNED = frozenset({"stop", "reload", "drain", "configure", "evacuate"})
 _LINK_FAULTS = tuple(f for f in LinkFault if f is not LinkFault.NONE)
 _SERVER_TROUBLES = ("lose", "shed", "stray", "fail")
+#: Time in seconds between the end of a process and its next start.
 _PAUSE_BETWEEN_S = 0.4
+#: Time in seconds between the signal to stop and the kill.
+_GRACE_S = 6.0
 
 
 @frozen
@@ -93,20 +96,23 @@
 
 
 async def _kill(target: _Target) -> None:
-    process = target.instance.process
-    await process.kill()
-    await asyncio.sleep(_PAUSE_BETWEEN_S)
-    if not process.running:
-        await process.start()
+    instance = target.instance
+    async with instance.restarting:
+        await instance.process.kill()
+        await _restart(instance)
 
 
 async def _stop(target: _Target) -> None:
-    process = target.instance.process
-    process.resume()
-    await process.stop(6.0)
+    instance = target.instance
+    async with instance.restarting:
+        instance.process.resume()
+        await instance.process.stop(_GRACE_S)
+        await _restart(instance)
+
+
+async def _restart(instance: Instance) -> None:
     await asyncio.sleep(_PAUSE_BETWEEN_S)
-    if not process.running:
-        await process.start()
+    await instance.process.start()
 
 
 async def _pause(target: _Target) -> None:
--- a/benchmarks/soak/site.py
+++ b/benchmarks/soak/site.py
@@ -37,6 +37,8 @@
     ready: str
     process: ManagedProcess
     store_proxy: FaultProxy
+    #: Held from the end of the process to its next start.
+    restarting: asyncio.Lock = field(factory=asyncio.Lock)
 
 
 @define(eq=False)
