--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -206,6 +206,14 @@
     assert deployment.bounds.stop_s == 6
 
 
+def test_cores_are_the_share_of_a_core_times_its_speed(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + "[localNode.limits]\ncpuShare = 0.5\ncpuCores = 3\n")
+    assert load_deployment(path).cores == 1.5
+    path.write_text(SETTINGS)
+    assert load_deployment(path).cores == 0.0
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
