Name the change cursor, the update of an instance and the terms of placement plainly

Names only: fed, feeding and look described the change feed in words of their own; tired, surely and bears better did in placement. No change of behaviour; tests pass.

--- a/basilwick/core/dispatch/feed.py
+++ b/basilwick/core/dispatch/cursor.py
@@ -1,4 +1,4 @@
-"""How an instance follows the changes that its leader has read.
+"""Position of an instance in the changes of the platform's service.
 
 A read of the platform's service by each instance costs calls in proportion to the
 fleet. The leader reads the changes once and passes them on; an instance reads by itself
@@ -46,10 +46,10 @@
         self.advance(shared.revision)
         return changes
 
-    def is_fed(
+    def is_current(
         self, beat: Beat | None, heard_at: MonotonicSeconds, now: MonotonicSeconds
     ) -> bool:
-        """Return whether the leader's changes make an own look needless.
+        """Return whether the leader's changes make a read of its own needless.
 
         Parameters
         ----------
--- a/basilwick/core/ranges/placement.py
+++ b/basilwick/core/ranges/placement.py
@@ -27,7 +27,7 @@
 #: Time in seconds for which the load of a key was measured.
 _MEASURED_S = 6.0
 #: Standard deviations by which a utilization must exceed the tolerated one.
-_ERRORS = 0.7
+_SIGNIFICANCE = 0.7
 #: Utilization below which a server is left alone.
 _IDLE_UTILIZATION = 0.35
 #: Share of the wanted load that a span to move must carry at least.
@@ -44,7 +44,7 @@
 _OVERLOADED = 1.2
 #: Utilization with its busiest key, relative to that of its present server, up to which
 #: another server takes it over.
-_BEARS_BETTER = 0.9
+_TAKEOVER_RATIO = 0.9
 #: Moves decided at a time, at least and in units of the servers.
 _LEAST_MOVES_PER_PLAN = 6
 _MOVES_PER_SERVER = 0.25
@@ -113,7 +113,7 @@
 
     def estimate_error(self, server: ServerName) -> float:
         """Return the error of the utilization, for requests that come at random."""
-        error = _ERRORS * sqrt(self.load[server] / _MEASURED_S)
+        error = _SIGNIFICANCE * sqrt(self.load[server] / _MEASURED_S)
         return error / self.capacities[server].requests_per_s
 
     def list_keys(self, span: OwnedSpan) -> Sequence[tuple[int, float]]:
@@ -184,17 +184,19 @@
             plan.load[span.owner] += sum(rate for _, rate in plan.list_keys(span))
     mean = _compute_level(plan)
     bound = max(_IDLE_UTILIZATION, _TOLERATED_EXCESS * mean)
-    tired: set[ServerName] = set()
+    exhausted: set[ServerName] = set()
     while len(plan.moves) < most:
-        donors = [name for name in plan.spans if name not in tired and plan.load[name]]
+        donors = [
+            name for name in plan.spans if name not in exhausted and plan.load[name]
+        ]
         if not donors:
             break
         donor = max(donors, key=plan.utilize)
         if plan.utilize(donor) <= bound:
             break
-        surely = plan.utilize(donor) - plan.estimate_error(donor) > bound
-        if not surely or not _relieve(plan, donor, mean):
-            tired.add(donor)
+        certain = plan.utilize(donor) - plan.estimate_error(donor) > bound
+        if not certain or not _move_from(plan, donor, mean):
+            exhausted.add(donor)
     return plan.moves
 
 
@@ -219,7 +221,7 @@
     return load / room if room else 1.0
 
 
-def _relieve(plan: _Plan, donor: ServerName, mean: float) -> bool:
+def _move_from(plan: _Plan, donor: ServerName, mean: float) -> bool:
     """Move a span away from a server; returns whether one was found.
 
     At best the receiver is filled to the mean, so that a very busy server gives its
@@ -231,9 +233,9 @@
     wanted = min(excess, plan.get_room(receiver, mean))
     if _move_window(plan, donor, receiver, wanted):
         return True
-    bearable = _BEARS_BETTER * plan.utilize(donor)
-    receiver = max(plan.load, key=lambda name: plan.get_room(name, bearable))
-    key_rate = plan.find_busiest_key(donor, plan.get_room(receiver, bearable))
+    limit = _TAKEOVER_RATIO * plan.utilize(donor)
+    receiver = max(plan.load, key=lambda name: plan.get_room(name, limit))
+    key_rate = plan.find_busiest_key(donor, plan.get_room(receiver, limit))
     return _move_window(plan, donor, receiver, key_rate)
 
 
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -8,7 +8,7 @@
 from attrs import evolve
 from loguru import logger
 
-from basilwick.core.dispatch.feed import Cursor
+from basilwick.core.dispatch.cursor import Cursor
 from basilwick.core.dispatch.messages import Beat, ItemChange, SharedChanges
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.platform.decoding import (
@@ -32,22 +32,22 @@
 
 __all__ = ["SiteWatch", "StateObserver"]
 
-#: Interval in seconds between looks at the changes by an instance that nobody feeds. A
+#: Interval in seconds between reads of the changes by an instance without a leader. A
 #: fleet that repeated them at once would take the platform's rate of calls.
 _INTERVAL_S = 1.0
-#: The same for the leader, which feeds the others.
+#: The same for the leader, which reads for all instances.
 _LEADER_INTERVAL_S = 0.25
-#: Longest time in seconds for which a look waits for a change.
+#: Longest time in seconds for which a read waits for a change.
 _WAIT_S = 1.0
 #: The same for the leader, below the age up to which its changes count as complete.
 _LEADER_WAIT_S = 0.7
-#: Interval in seconds at which an instance checks whether the leader feeds it.
-_FEED_CHECK_S = 0.1
+#: Interval in seconds at which an instance checks whether the leader keeps it current.
+_CHECK_S = 0.1
 #: Time in seconds without news after which all items are listed. The changes of a
 #: longer time can be more than a slow link carries in the time for one call.
 _RELIST_AFTER_S = 3.0
-#: Shortest interval in seconds between an instance's reads of the own items while the
-#: leader feeds it. They serve when the leader is lost.
+#: Shortest interval in seconds between reads of the instances' own items, which the
+#: leader doesn't pass on. They serve when the leader is lost.
 _OWN_INTERVAL_S = 2.0
 #: Age in seconds that is told of a service that never answered.
 _LONGEST_AGE_S = 3600.0
@@ -135,7 +135,7 @@
         while True:
             sent_at = self._clock()
             try:
-                interval_s = await self._look(sent_at)
+                interval_s = await self._update(sent_at)
             except HistoryLostError as error:
                 logger.bind(revision=self._cursor.revision, reason=str(error)).warning(
                     "history of the platform's service is lost; listing all items"
@@ -148,14 +148,14 @@
                 continue
             await asyncio.sleep(max(0.0, sent_at + interval_s - self._clock()))
 
-    async def _look(self, now: MonotonicSeconds) -> float:
-        """Read what is new; returns the interval to the next look in seconds."""
+    async def _update(self, now: MonotonicSeconds) -> float:
+        """Learn what is new; returns the time in seconds to the next update."""
         beat, heard_at = self._link.beat
-        if self._cursor.is_fed(beat, heard_at, now):
+        if self._cursor.is_current(beat, heard_at, now):
             self._current_at = now
             await self._follow(beat, now)
-            return _FEED_CHECK_S
-        feeding = self._listener.instances > 1
+            return _CHECK_S
+        sharing = self._listener.instances > 1
         if now - self._current_at > _RELIST_AFTER_S:
             # Changes that the leader passes on meanwhile are not in the list.
             self._cursor.revision = None
@@ -164,10 +164,10 @@
         else:
             if self._own_known < self._cursor.revision:
                 await self._read_own_items(stale=False)
-            await self._read_changes(_LEADER_WAIT_S if feeding else _WAIT_S)
+            await self._read_changes(_LEADER_WAIT_S if sharing else _WAIT_S)
         self._answered_at = self._current_at = self._clock()
         self._note_regained()
-        return _LEADER_INTERVAL_S if feeding else _INTERVAL_S
+        return _LEADER_INTERVAL_S if sharing else _INTERVAL_S
 
     async def _follow(self, beat: Beat, now: MonotonicSeconds) -> None:
         """Read only what the leader doesn't pass on."""
--- a/tests/core/dispatch/test_feed.py
+++ b/tests/core/dispatch/test_cursor.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from basilwick.core.dispatch.feed import FRESH_S, Cursor
+from basilwick.core.dispatch.cursor import FRESH_S, Cursor
 from basilwick.core.dispatch.messages import Beat, ItemChange, SharedChanges
 
 
@@ -29,17 +29,17 @@
     cursor = Cursor(10)
     assert cursor.take(share(11, 13, ("a", 12))) == []
     assert cursor.revision == 10
-    assert not cursor.is_fed(Beat(3, 13), 0.0, 0.0)
+    assert not cursor.is_current(Beat(3, 13), 0.0, 0.0)
 
 
 def test_an_instance_without_a_list_takes_nothing():
     cursor = Cursor()
     assert cursor.take(share(0, 5, ("a", 4))) == []
-    assert not cursor.is_fed(Beat(3, 0), 0.0, 0.0)
+    assert not cursor.is_current(Beat(3, 0), 0.0, 0.0)
 
 
 @pytest.mark.parametrize(
-    ("beat", "heard_at", "fed"),
+    ("beat", "heard_at", "current"),
     [
         (Beat(3, 10, 0.0), 5.0, True),
         (Beat(3, 9, 0.0), 5.0, True),
@@ -49,11 +49,11 @@
         (None, 5.0, False),
     ],
 )
-def test_an_instance_is_fed_by_a_leader_that_knows_the_newest_changes(
-    beat, heard_at, fed
+def test_an_instance_is_current_by_a_leader_that_knows_the_newest_changes(
+    beat, heard_at, current
 ):
     """A leader that lost the platform's service kept the others from reading it."""
-    assert Cursor(10).is_fed(beat, heard_at, 5.0) is fed
+    assert Cursor(10).is_current(beat, heard_at, 5.0) is current
 
 
 def test_the_revision_never_goes_back():
--- a/tests/runtime/fleet/test_site_watch.py
+++ b/tests/runtime/fleet/test_site_watch.py
@@ -82,16 +82,16 @@
     """The list did not name the new server, and no later look brought it back."""
     watch, store, view, now = parts
     store.gate.set()
-    await watch._look(now[0])
+    await watch._update(now[0])
     now[0] = 10.0
     store.gate.clear()
-    listing = asyncio.create_task(watch._look(now[0]))
+    listing = asyncio.create_task(watch._update(now[0]))
     await asyncio.sleep(0)
     change = store.put("s2")
     watch._take_shared(share(change, after=2))
     store.gate.set()
     await listing
-    await watch._look(now[0])
+    await watch._update(now[0])
     assert view.get_server("s2") is not None
     assert {s.name for s in view.list_servers("maps")} == {"s1", "s2"}
 
@@ -99,7 +99,7 @@
 async def test_changes_passed_on_are_applied(parts):
     watch, store, view, now = parts
     store.gate.set()
-    await watch._look(now[0])
+    await watch._update(now[0])
     watch._take_shared(share(store.put("s2"), after=2))
     assert view.get_server("s2") is not None
     assert watch._describe(Beat(2)).revision == 3
