Move the choice of a server out of the dispatcher

ServerChoice keeps the servers' loads, their slots and warm-up, and chooses; the dispatcher orders, refuses and counts.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -11,12 +11,12 @@
 from itertools import count
 from typing import TYPE_CHECKING, TypeAlias
 
-from attrs import define, field
+from attrs import define
 
 from basilwick.core.dispatch.lanes import Lane, Ticket
 from basilwick.core.dispatch.messages import Refused, Send, SendOutcome
 from basilwick.core.dispatch.retry_window import RetryBounds, RetryWindow
-from basilwick.core.dispatch.server_load import ServerLoad
+from basilwick.core.dispatch.server_choice import ServerChoice, Share
 
 if TYPE_CHECKING:
     from collections.abc import Hashable, Iterator
@@ -24,10 +24,11 @@
 
     from basilwick.core.dispatch.messages import Ask, Done
     from basilwick.core.dispatch.owners import KeyOwners
-    from basilwick.core.dispatch.site import ServerEntry, SiteView
+    from basilwick.core.dispatch.server_load import ServerLoad
+    from basilwick.core.dispatch.site import SiteView
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
-__all__ = ["Decision", "Dispatcher", "Share"]
+__all__ = ["Decision", "Dispatcher"]
 
 #: Work time in seconds assumed before the first answer of a service.
 _UNKNOWN_WORK_S = 0.05
@@ -38,39 +39,16 @@
 #: Shortest and longest time to come back, in seconds.
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 2.0
-#: Time in seconds for which a byte between data centres makes up. Such bytes are paid
-#: for, so a large body leaves its data centre only for a much quicker server.
-_CROSSING_S_PER_BYTE = 1e-6
-#: Bytes of an answer, which is not known beforehand.
-_ANSWER_BYTES = 5_000
 #: Late requests that may wait, in units of the slots that serve them.
 _LATE_QUEUE_PER_SLOT = 1.0
 
 Decision: TypeAlias = Send | Refused
 
 
-@define
-class Share:
-    """Part of each server's capacity that a dispatcher may use.
-
-    Attributes
-    ----------
-    slots : int or None
-        Slots of each server; None for all.
-    rate : float
-        Share of the warm-up rate of each cold server.
-    """
-
-    slots: int | None = None
-    rate: float = 1.0
-
-
 @define(eq=False)
 class _Service:
     window: RetryWindow
     work_s: float = 0.0
-    servers: list[ServerEntry] = field(factory=list)
-    version: int = -1
 
     @property
     def usual_s(self) -> float:
@@ -105,14 +83,12 @@
         rng: Random,
         share: Share | None = None,
     ):
-        self.share = share or Share()
         self._view = view
         self._owners = owners
         self._bounds = bounds
-        self._regions = regions
         self._rng = rng
         self._services: dict[ServiceName, _Service] = {}
-        self._loads: dict[ServerName, ServerLoad] = {}
+        self._servers = ServerChoice(view, regions, share or Share())
         self._lanes: dict[tuple[ServiceName, ServerName | None], Lane] = {}
         self._tickets: dict[Hashable, Ticket] = {}
         self._moving: list[Ticket] = []
@@ -144,7 +120,9 @@
         if ticket is None or ticket.server is None:
             return []
         service = self._get_service(ticket.ask.service)
-        self._get_load(ticket.server).finish(done.outcome, done.latency_s, now)
+        self._servers.measure_load(ticket.server).finish(
+            done.outcome, done.latency_s, now
+        )
         if done.outcome is SendOutcome.OK:
             work_s = service.usual_s
             service.work_s = work_s + _SMOOTHING * (done.latency_s - work_s)
@@ -160,7 +138,9 @@
         ticket.ended = True
         if ticket.server is None:
             return []
-        self._get_load(ticket.server).finish(SendOutcome.WITHDRAWN, 0.0, now)
+        self._servers.measure_load(ticket.server).finish(
+            SendOutcome.WITHDRAWN, 0.0, now
+        )
         return list(self._serve_lane(self._find_lane(ticket), now))
 
     def advance(self, now: MonotonicSeconds) -> list[tuple[Hashable, Decision]]:
@@ -180,9 +160,14 @@
                 del self._lanes[key]
         return decisions
 
+    @property
+    def share(self) -> Share:
+        """Part of the capacity that may be used."""
+        return self._servers.share
+
     def measure_load(self, name: ServerName) -> ServerLoad:
         """Return what is known of a server's load."""
-        return self._get_load(name)
+        return self._servers.measure_load(name)
 
     def get_work_s(self, service: ServiceName) -> float:
         """Return the usual work time of a service in seconds."""
@@ -190,7 +175,7 @@
 
     def forget_server(self, name: ServerName) -> None:
         """Drop what is known of a server that is gone."""
-        self._loads.pop(name, None)
+        self._servers.forget(name)
 
     # Placing
 
@@ -226,7 +211,7 @@
             if sent is not None:
                 return sent
         ask = ticket.ask
-        slots = self._count_slots(lane, now)
+        slots = self._servers.count_slots(lane, now)
         if not slots:
             return self._refuse(ask, 0.25, "no server can be reached")
         work_s = self._estimate_work(lane, now)
@@ -246,49 +231,14 @@
     def _try_send(
         self, lane: Lane, ticket: Ticket, now: MonotonicSeconds
     ) -> Send | None:
-        server = self._choose_server(lane, ticket, now)
+        usual_s = self._get_service(lane.service).usual_s
+        server = self._servers.choose(lane, ticket.ask, usual_s, now)
         if server is None:
             return None
-        self._get_load(server.name).running += 1
+        self._servers.measure_load(server.name).running += 1
         ticket.server = server.name
         return Send(ticket.ask.number, server.name, server.address)
 
-    def _choose_server(
-        self, lane: Lane, ticket: Ticket, now: MonotonicSeconds
-    ) -> ServerEntry | None:
-        usual_s = self._get_service(lane.service).usual_s
-        best = None
-        best_score = float("inf")
-        for server in self._list_servers(lane, ticket.ask):
-            load = self._get_load(server.name)
-            slots = self._get_slots(server)
-            if load.running >= slots or now < load.blocked_until:
-                continue
-            cold = self._view.is_cold(server.name, now)
-            score = load.score(usual_s, slots, cold, now)
-            if server.name in ticket.ask.tried and lane.owner is None:
-                score += 10.0 * usual_s
-            if server.data_centre != ticket.ask.data_centre:
-                score += (ticket.ask.size + _ANSWER_BYTES) * _CROSSING_S_PER_BYTE
-            if score >= best_score or (cold and not self._may_warm(load, lane, now)):
-                continue
-            best, best_score = server, score
-        if best is not None and self._view.is_cold(best.name, now):
-            self._take_warm_up(best, lane, now)
-        return best
-
-    def _may_warm(self, load: ServerLoad, lane: Lane, now: MonotonicSeconds) -> bool:
-        spec = self._view.get_service(lane.service)
-        rate = spec.warm_up_rate * self.share.rate
-        return load.warm_up.tokens + (now - load.warm_up.updated_at) * rate >= 1.0
-
-    def _take_warm_up(
-        self, server: ServerEntry, lane: Lane, now: MonotonicSeconds
-    ) -> None:
-        spec = self._view.get_service(lane.service)
-        rate = spec.warm_up_rate * self.share.rate
-        self._get_load(server.name).warm_up.try_take(rate, now)
-
     # Waiting requests
 
     def _serve_lane(
@@ -383,42 +333,6 @@
             service = self._services[name] = _Service(RetryWindow(self._bounds))
         return service
 
-    def _get_load(self, name: ServerName) -> ServerLoad:
-        load = self._loads.get(name)
-        if load is None:
-            load = self._loads[name] = ServerLoad()
-        return load
-
-    def _get_slots(self, server: ServerEntry) -> int:
-        if self.share.slots is None:
-            return server.slots
-        return min(server.slots, self.share.slots)
-
-    def _list_servers(self, lane: Lane, ask: Ask | None = None) -> list[ServerEntry]:
-        if lane.owner is not None:
-            owner = self._view.get_server(lane.owner)
-            return [owner] if owner and self._view.may_use(lane.owner) else []
-        service = self._get_service(lane.service)
-        if service.version != self._view.version:
-            service.servers = self._view.list_servers(lane.service)
-            service.version = self._view.version
-        if ask is None or not ask.home_regions:
-            return service.servers
-        return [
-            server
-            for server in service.servers
-            if self._regions.get(server.data_centre) in ask.home_regions
-        ]
-
-    def _count_slots(self, lane: Lane, now: MonotonicSeconds) -> int:
-        return sum(
-            self._get_slots(server)
-            for server in self._list_servers(lane)
-            if now >= self._get_load(server.name).blocked_until
-        )
-
     def _estimate_work(self, lane: Lane, now: MonotonicSeconds) -> float:
         usual_s = self._get_service(lane.service).usual_s
-        if lane.owner is None:
-            return usual_s
-        return self._get_load(lane.owner).estimate_work(usual_s, now)
+        return self._servers.estimate_work(lane, usual_s, now)
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -9,9 +9,10 @@
 
 from loguru import logger
 
-from basilwick.core.dispatch.dispatcher import Dispatcher, Share
+from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBounds
+from basilwick.core.dispatch.server_choice import Share
 from basilwick.core.dispatch.site import SiteView
 from basilwick.core.ranges.orders import OwnerTimes
 from basilwick.metrics import FleetMetrics
--- a/tests/core/dispatch/test_dispatcher.py
+++ b/tests/core/dispatch/test_dispatcher.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from basilwick.core.dispatch.dispatcher import Dispatcher, Share
+from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.messages import Ask, Done, Refused, Send, SendOutcome
 from basilwick.core.dispatch.owners import KeyOwner
 from basilwick.core.dispatch.retry_window import RetryBounds
+from basilwick.core.dispatch.server_choice import Share
 from basilwick.core.dispatch.site import (
     ServerEntry,
     ServiceSpec,
