--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -150,7 +150,7 @@
         begun = []
         for move in moves:
             found = self.table.find(move.first)
-            if found.last < move.last or not self._is_settled(found):
+            if found.last < move.last or not found.settled:
                 continue
             if found.owner == move.target:
                 continue
@@ -177,7 +177,7 @@
             ranges are renewed.
         """
         if leased:
-            self._join_neighbours()
+            self.table.join_settled()
         if now >= self._store_end_at:
             self._store_end_at = float("inf")
             self.unstored = True
@@ -204,15 +204,7 @@
             return None
         self.unstored = False
         self._storing = [r for r in self.table.ranges if r.phase is Phase.STORING]
-        stored = []
-        for item in self.table.ranges:
-            owner, former = item.owner, None
-            if item.target is not None:
-                owner, former = item.target, item.owner
-            stored.append(
-                KeyRange(item.first, item.last, owner or None, former or None)
-            )
-        return RangeTable(stored).list_stored()
+        return self.table.list_stored()
 
     # Answers
 
@@ -405,33 +397,6 @@
         pending.item.pending = 0
         return pending
 
-    def _join_neighbours(self) -> None:
-        index = 0
-        ranges = self.table.ranges
-        while index + 1 < len(ranges):
-            lower, upper = ranges[index], ranges[index + 1]
-            if (
-                lower.owner == upper.owner
-                and self._is_settled(lower)
-                and self._is_settled(upper)
-            ):
-                joined = self.table.join(index)
-                joined.fence = 0
-                joined.next_order_at = _NEVER
-            else:
-                index += 1
-
-    def _is_settled(self, item: KeyRange) -> bool:
-        return (
-            item.phase is Phase.OWNED
-            and not item.pending
-            and item.confirmed
-            and item.target is None
-            and not item.failures
-            and item.hand_over is None
-            and item.serving_until > _NEVER
-        )
-
     def _get_unreached_hold_end(self) -> MonotonicSeconds:
         return self.taken_over_at + self.times.autonomy_s + self.times.longest_hold_s
 
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -103,6 +103,19 @@
         """Number of keys."""
         return self.last - self.first + 1
 
+    @property
+    def settled(self) -> bool:
+        """Whether the owner holds the range and nothing is under way."""
+        return (
+            self.phase is Phase.OWNED
+            and not self.pending
+            and self.confirmed
+            and self.target is None
+            and not self.failures
+            and self.hand_over is None
+            and self.serving_until > float("-inf")
+        )
+
     def enter(self, phase: Phase, now: MonotonicSeconds) -> None:
         """Go to a phase; its first order is due at once."""
         self.phase = phase
@@ -161,12 +174,16 @@
         return cls(ranges)
 
     def list_stored(self) -> list[StoredRange]:
-        """Return the ranges in the form that is stored; equal neighbours are joined."""
+        """Return the ranges in the form that is stored; equal neighbours are joined.
+
+        A range that moves is stored with its next owner, and the present one as former.
+        """
         stored: list[StoredRange] = []
         for item in self.ranges:
-            entry = StoredRange(
-                item.first, item.last, item.owner or "", item.former or ""
-            )
+            owner, former = item.owner, None
+            if item.target is not None:
+                owner, former = item.target, item.owner
+            entry = StoredRange(item.first, item.last, owner or "", former or "")
             last = stored[-1] if stored else None
             if last and (last.owner, last.former) == (entry.owner, entry.former):
                 entry = StoredRange(last.first, entry.last, entry.owner, entry.former)
@@ -193,17 +210,25 @@
         self._index()
         return item
 
-    def join(self, index: int) -> KeyRange:
-        """Join a range with the one after it, and return the whole."""
+    def join_settled(self) -> None:
+        """Join settled neighbours of one owner; the whole is granted anew at once."""
+        index = 0
+        while index + 1 < len(self.ranges):
+            lower, upper = self.ranges[index], self.ranges[index + 1]
+            if lower.owner == upper.owner and lower.settled and upper.settled:
+                self._join(index)
+            else:
+                index += 1
+
+    def _join(self, index: int) -> None:
         lower = self.ranges[index]
         upper = self.ranges.pop(index + 1)
         lower.last = upper.last
-        lower.fence = max(lower.fence, upper.fence)
+        lower.fence = 0
+        lower.next_order_at = float("-inf")
         lower.serving_until = min(lower.serving_until, upper.serving_until)
         lower.held_until = max(lower.held_until, upper.held_until)
-        lower.confirmed = lower.confirmed and upper.confirmed
         self._index()
-        return lower
 
     def _index(self) -> None:
         self._firsts = [item.first for item in self.ranges]
