Read stored ranges of earlier versions

Compressed ranges left those of an earlier version unreadable, so no instance could have taken over the keys after an upgrade. Found by reading; the test reads both forms.

--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -66,7 +66,8 @@
         If the value is unreadable.
     """
     try:
-        data = loads(decompress(value))
+        # Earlier versions stored the text as it is.
+        data = loads(value if value.startswith(b"{") else decompress(value))
         return int(data["reserved"]), [StoredRange(*row) for row in data["ranges"]]
     except (ZlibError, JSONDecodeError, KeyError, TypeError) as error:
         raise ValueError(f"stored ranges {value[:100]!r}: {error!r}") from error
--- /dev/null
+++ b/tests/runtime/fleet/test_range_keeper.py
@@ -0,0 +1,27 @@
+"""Stored ranges as the instances write and read them."""
+
+from __future__ import annotations
+
+from zlib import compress
+
+import pytest
+from orjson import dumps
+
+from basilwick.core.ranges.table import StoredRange
+from basilwick.runtime.fleet.range_keeper import decode_ranges
+
+STORED = dumps({"reserved": 300, "ranges": [[0, 9, "m0", ""], [10, 65535, "m1", "m0"]]})
+
+
+@pytest.mark.parametrize("value", [STORED, compress(STORED)])
+def test_ranges_of_this_and_earlier_versions_are_read(value):
+    """An upgrade must not leave the keys without a leader that can read them."""
+    reserved, ranges = decode_ranges(value)
+    assert reserved == 300
+    assert ranges == [StoredRange(0, 9, "m0", ""), StoredRange(10, 65535, "m1", "m0")]
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"{}", compress(b"[]"), compress(b"{")])
+def test_unreadable_ranges_are_an_error(value):
+    with pytest.raises(ValueError, match="stored ranges"):
+        decode_ranges(value)
