Decode each resource of a configuration by itself; know routes with large answers

Change: each resource is decoded by itself. A route of an unknown kind runs at most once; an unusable resource keeps its definition in force; a route that was never usable refuses only its own requests with 503. Faults are logged and counted (basilwick_unusable_resources). Addresses of servers must be an IP number and a port that exists.

--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -60,6 +60,8 @@
         Servers that one request may be sent to.
     home_regions : frozenset of str
         Regions whose servers may run the requests; empty for all.
+    large_answers : bool
+        Whether answers are usually large.
     """
 
     name: str
@@ -72,6 +74,7 @@
     priority: int
     max_attempts: int
     home_regions: frozenset[str] = frozenset()
+    large_answers: bool = False
 
 
 @frozen
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -219,6 +219,11 @@
             "Whether this instance leads its site.",
             registry=self.registry,
         )
+        self.unusable_resources = Gauge(
+            "basilwick_unusable_resources",
+            "Resources of the configuration in force that are not used as written.",
+            registry=self.registry,
+        )
 
     def observe_request(self, service: str, status: int, elapsed_s: float) -> None:
         """Count an answered request."""
--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -45,6 +45,9 @@
 #: Time in seconds after which a caller comes back to an instance that knows no
 #: configuration yet.
 _NO_CONFIGURATION_RETRY_S = 0.3
+#: Time in seconds after which a caller of an unusable route comes back; operators mend
+#: the route by another version.
+_UNUSABLE_ROUTE_RETRY_S = 2.0
 _RAN_OUT = 504
 _LOST = 502
 _NOT_RUN = 503
@@ -160,6 +163,8 @@
         if route is None:
             self._log_unrouted(raw, marks, configuration.version)
             return Answer(404)
+        if not route.targets:
+            return self._refuse_unusable(route, marks, configuration.version)
         timeout_s = route.timeout_s
         elapsed_s = 0.0
         if marks.time_left_s is not None:
@@ -337,6 +342,19 @@
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
 
+    def _refuse_unusable(
+        self, route: Route, marks: CallerMarks, version: int
+    ) -> Answer:
+        """Refuse a request of a route whose definition can't be used."""
+        log_decision(
+            "request has an unusable route",
+            request=marks.request_id.decode("latin-1"),
+            route=route.name,
+            version=version,
+            status=_NOT_RUN,
+        )
+        return _refuse(_UNUSABLE_ROUTE_RETRY_S)
+
     def _log_unrouted(self, raw: BaseRequest, marks: CallerMarks, version: int) -> None:
         log_decision(
             "request has no route",
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -86,6 +86,7 @@
             rng,
             self._link,
             self._listener,
+            self.metrics,
         )
         self._rng = rng
         fallback = Dispatcher(
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -27,6 +27,7 @@
 
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.types import MonotonicSeconds
+    from basilwick.metrics import FleetMetrics
     from basilwick.platform.store import Store
     from basilwick.runtime.fleet.links import LeaderLink, LinkListener
 
@@ -54,6 +55,8 @@
 #: Bounds in seconds of the random pause after a failed call.
 _MIN_PAUSE_S = 0.15
 _MAX_PAUSE_S = 0.4
+#: Faults of one configuration that are logged; the metric counts all.
+_MAX_LOGGED_FAULTS = 20
 
 
 class StateObserver(Protocol):
@@ -87,6 +90,8 @@
         Brings the changes that the leader has read.
     listener : LinkListener
         Passes changes on while this instance leads.
+    metrics : FleetMetrics
+        Counts resources that can't be used.
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         rng: Random,
         link: LeaderLink,
         listener: LinkListener,
+        metrics: FleetMetrics,
     ):
         self._store = store
         self._view = view
@@ -106,6 +112,7 @@
         self._rng = rng
         self._link = link
         self._listener = listener
+        self._metrics = metrics
         link.on_changes = self._take_shared
         listener.describe = self._describe
         self._cursor = Cursor()
@@ -305,8 +312,14 @@
     def _apply_configuration(self, change: Change) -> None:
         if change.value is None:
             return
-        configuration = decode_configuration(change.value)
+        decoded = decode_configuration(change.value, self._view.configuration)
+        configuration = decoded.configuration
         if self._view.apply_configuration(configuration):
+            self._metrics.unusable_resources.set(len(decoded.faults))
+            for fault in decoded.faults[:_MAX_LOGGED_FAULTS]:
+                logger.bind(version=configuration.version, reason=fault).warning(
+                    "resource of the configuration is not used as written"
+                )
             logger.bind(
                 version=configuration.version,
                 revision=change.revision,
--- a/tests/runtime/fleet/test_fleet.py
+++ b/tests/runtime/fleet/test_fleet.py
@@ -304,3 +304,17 @@
         if s.name.endswith("_total")
         and (s.labels["cause"], s.labels["result"]) == (cause, "200")
     )
+
+
+async def test_an_unusable_route_leaves_the_other_routes_served(site):
+    """One route of a kind that was not known made all instances refuse everything."""
+    selector = {"service": "desk", "pathPrefix": "/new/"}
+    broken = {"timeoutMs": "soon", "kind": "safe", **selector}
+    odd = {"kind": "odd", "service": "desk", "pathPrefix": "/odd/"}
+    await site.store.put("op/config", make_configuration(7, added=broken, odd=odd))
+    views = [member._view for member in site.members]
+    await wait_until(lambda: all(v.configuration.version == 7 for v in views))
+    assert (await site.send("GET", "/new/x")).status == 503
+    assert (await site.send("POST", "/odd/x")).status == 200
+    assert (await site.read(5)).status == 200
+    assert (await site.order()).status == 200
