--- a/basilwick/platform/decoding.py
+++ b/basilwick/platform/decoding.py
@@ -137,9 +137,10 @@
         """Take a resource."""
         try:
             kind = resource["resourceKind"]
-            name = _expect(resource["metadata"]["name"], str)
+            # Limits stand alone and may have no name.
+            name = _expect(resource["metadata"].get("name", ""), str)
             content = _expect(resource["specification"], dict)
-        except (KeyError, TypeError) as error:
+        except _UNUSABLE as error:
             self.faults.append(f"resource {str(resource)[:100]}: {error!r}")
             return
         try:
@@ -264,9 +265,9 @@
 def _read_amount(
     content: dict[str, Any], name: str, default: float | None = None
 ) -> float:
-    """Return a number that isn't negative; without a default the field must be there."""
+    """Return a number from 0 up; without a default the field must be there."""
     value = content[name] if default is None else content.get(name, default)
-    if not _expect(value, (int, float)) >= 0:
+    if _expect(value, (int, float)) < 0:
         raise ValueError(f"{name} is {value!r}; give a number from 0 up")
     return value
 
