Bound what servers, callers and the service may send; end a stop by what was read

Answers without a length, answers to other requests and interim answers were read whole, so one server could fill the memory of an instance. Orders to servers took any answer on their connection, also a late copy of an answer to a caller's request.

An answer without an identity ends the use of its connection, so that a copy of it can't answer the next request; orders carry an identity. A stop closes each connection only while nothing of a request was read from it, until all are closed; requests that wait for a server are refused in its last fifth. Chunked bodies of callers are passed on in chunks beyond 1 MiB, held bodies are bounded together, heads have a time limit, idle connections that of the configuration. Loops go on after an unexpected error. Answers of the key-value service are bounded, and one of another form counts as none.

--- a/basilwick/platform/store.py
+++ b/basilwick/platform/store.py
@@ -4,6 +4,7 @@
 
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
+from contextlib import contextmanager
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
@@ -15,14 +16,20 @@
 from basilwick.core.errors import PlatformUnavailableError
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
+    from aiohttp import StreamReader
     from prometheus_client import CollectorRegistry
 
 __all__ = ["Change", "Changes", "HistoryLostError", "Item", "Store", "WriteResult"]
 
 #: Longest time in seconds for the answer to a call, besides a watch's wait.
 _CALL_TIMEOUT_S = 1.0
+#: Largest answer in bytes: a page of items is about 1 MB, and the changes of some
+#: seconds can be several of them.
+_MAX_ANSWER_BYTES = 16 << 20
+#: Errors that an answer of an unexpected form raises while it is decoded.
+_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class HistoryLostError(Exception):
@@ -105,7 +112,9 @@
         answer = await self._call(cause, "GET", "/kv-key", params={"key": key})
         if answer.status == 404:
             return None
-        return _decode_item(self._expect(answer, cause, 200))
+        body = self._expect(answer, cause, 200)
+        with _reporting_unreadable(cause):
+            return _decode_item(body)
 
     async def list_items(
         self, prefix: str, cause: str, stale: bool = False
@@ -113,7 +122,7 @@
         """Return all items with a prefix, and the revision of the first page.
 
         Changes after that revision have to be applied on top, because the pages are
-        not read at one moment. Items that can't be decoded are left out.
+        not read at one moment.
         """
         items: list[Item] = []
         revision = None
@@ -123,13 +132,14 @@
         while True:
             answer = await self._call(cause, "GET", "/kv-range", params=params)
             body = self._expect(answer, cause, 200)
-            page = [_decode_item(item) for item in body["items"]]
-            items += page
-            if revision is None:
-                revision = int(body["currentRev"])
-            if not body.get("morePages") or not page:
-                return items, revision
-            params["after"] = page[-1].key
+            with _reporting_unreadable(cause):
+                page = [_decode_item(item) for item in body["items"]]
+                items += page
+                if revision is None:
+                    revision = int(body["currentRev"])
+                if not body.get("morePages") or not page:
+                    return items, revision
+                params["after"] = page[-1].key
 
     async def watch(
         self, prefix: str, after: int, wait_s: float, cause: str
@@ -152,8 +162,9 @@
         if answer.status == 410:
             raise HistoryLostError(f"changes after revision {after} are gone")
         body = self._expect(answer, cause, 200)
-        changes = [_decode_change(event) for event in body["events"]]
-        return Changes(changes, int(body["currentRev"]))
+        with _reporting_unreadable(cause):
+            changes = [_decode_change(event) for event in body["events"]]
+            return Changes(changes, int(body["currentRev"]))
 
     async def write(
         self, key: str, value: bytes, revision: int, cause: str, lease: int = 0
@@ -164,7 +175,8 @@
             write["lease"] = lease
         answer = await self._commit(key, revision, cause, [write], [])
         if answer.status == 200:
-            return WriteResult.DONE, int(answer.body["revision"])
+            with _reporting_unreadable(cause):
+                return WriteResult.DONE, int(answer.body["revision"])
         if answer.status == 404:
             return WriteResult.NO_LEASE, 0
         self._expect(answer, cause, 412)
@@ -182,7 +194,9 @@
         """Return the number of a new lease."""
         body = dumps({"ttlMs": round(seconds * 1000)})
         answer = await self._call(cause, "POST", "/kv-lease", data=body)
-        return int(self._expect(answer, cause, 200)["lease"])
+        answered = self._expect(answer, cause, 200)
+        with _reporting_unreadable(cause):
+            return int(answered["lease"])
 
     async def renew_lease(self, lease: int, cause: str) -> bool:
         """Renew a lease; returns whether it was still in force."""
@@ -229,8 +243,10 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                raw = await response.read()
+                raw = await _read_bounded(response.content)
                 body = loads(raw) if raw and response.status in (200, 412) else {}
+                if not isinstance(body, dict):
+                    raise ValueError(f"the answer is no object: {raw[:100]!r}")
                 status = response.status
         except (TimeoutError, ClientError, OSError, ValueError) as error:
             self._calls.labels(cause, "failed").inc()
@@ -248,6 +264,28 @@
         return answer.body
 
 
+@contextmanager
+def _reporting_unreadable(cause: str) -> Iterator[None]:
+    """Turn an answer of an unexpected form into a call without an answer."""
+    try:
+        yield
+    except _UNREADABLE as error:
+        raise PlatformUnavailableError(
+            f"{cause}: unreadable answer ({error!r}); it is repeated later"
+        ) from error
+
+
+async def _read_bounded(content: StreamReader) -> bytes:
+    parts = []
+    size = 0
+    async for chunk in content.iter_any():
+        parts.append(chunk)
+        size += len(chunk)
+        if size > _MAX_ANSWER_BYTES:
+            raise ValueError(f"the answer has more than {_MAX_ANSWER_BYTES} bytes")
+    return b"".join(parts)
+
+
 def _decode_item(data: dict[str, Any]) -> Item:
     change = _decode_change(data)
     return Item(change.key, change.value or b"", change.revision)
--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -7,6 +7,7 @@
 
 from aiohttp.web import RequestPayloadError
 from attrs import define
+from loguru import logger
 
 from basilwick.core.dispatch.first_attempts import FirstAttempts
 from basilwick.core.dispatch.messages import Ask, Done, Refused, SendOutcome
@@ -38,8 +39,11 @@
 
 #: Largest body in bytes that is held whole; a larger one is passed on as it arrives.
 _HELD_BODY_BYTES = 1 << 20
-#: Largest body in bytes without a stated length.
-_UNSTATED_BODY_BYTES = 16 << 20
+#: Bytes of bodies that are held at a time; beyond, only small bodies are held.
+_ALL_HELD_BYTES = 32 << 20
+_SMALL_BODY_BYTES = 16 << 10
+#: Time in seconds after a caller's deadline for which its answer is still delivered.
+_DELIVERY_SLACK_S = 5.0
 #: Time in seconds kept back for the way of the answer to the caller.
 _ANSWER_MARGIN_S = 0.01
 #: Time in seconds after which a caller comes back to an instance that knows no
@@ -77,6 +81,8 @@
         Whether an attempt is at a server.
     left : bool
         Whether the caller has left.
+    held_bytes : int
+        Bytes of the body that are held.
     """
 
     raw: BaseRequest
@@ -94,6 +100,7 @@
     sending: bool = False
     left: bool = False
     reason: str = ""
+    held_bytes: int = 0
 
     @property
     def idempotent(self) -> bool:
@@ -137,6 +144,8 @@
         self._routes = RouteTable()
         self._first_attempts = FirstAttempts()
         self._tasks: set[asyncio.Task[Answer]] = set()
+        #: Bytes of all bodies that are held.
+        self._held_bytes = 0
         #: Whether connections are closed with their next answer.
         self.closing = False
 
@@ -148,7 +157,17 @@
         response = RawResponse(raw, keep_alive=not self.closing)
         if not raw.content.is_eof():
             response.keep_alive = False
-        await response.send(answer)
+        ends_at = arrived_at + (marks.time_left_s or 0.0) + _DELIVERY_SLACK_S
+        try:
+            async with asyncio.timeout(max(0.0, ends_at - self._clock())):
+                await response.send(answer)
+        except TimeoutError:
+            # Neither a caller that reads nothing nor a server that sends without end
+            # may hold a connection for ever.
+            logger.bind(request=marks.request_id.decode("latin-1")).warning(
+                "gave up an answer that was not delivered in time"
+            )
+            response.abort()
         return response
 
     async def _answer(
@@ -187,7 +206,7 @@
 
     async def _run(self, call: _Call) -> Answer:
         """Route a request; the way goes on without a caller only at a server."""
-        task = asyncio.create_task(self._route(call))
+        task = asyncio.create_task(self._route_and_free(call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         try:
@@ -198,6 +217,13 @@
                 task.cancel()
             raise
 
+    async def _route_and_free(self, call: _Call) -> Answer:
+        try:
+            return await self._route(call)
+        finally:
+            self._held_bytes -= call.held_bytes
+            call.held_bytes = 0
+
     async def _route(self, call: _Call) -> Answer:
         try:
             async with asyncio.timeout(max(0.0, call.deadline - self._clock())):
@@ -297,7 +323,12 @@
             call.framing,
         )
         request = ServerRequest(
-            raw.method, head, call.body, call.marks.request_id, call.idempotent
+            raw.method,
+            head,
+            call.body,
+            call.marks.request_id,
+            call.idempotent,
+            chunked=not call.repeatable and call.body.length is None,
         )
         spec = self._view.get_service(call.service)
         connections = spec.max_connections // _CONNECTION_SHARE if spec else 0
@@ -317,12 +348,42 @@
         largest = self._view.configuration.limits.body_bytes
         if length is not None and length > largest:
             raise _UnreadableBodyError(413)
-        if length is not None and length > _HELD_BODY_BYTES:
+        most = self._bound_held_body()
+        if length is not None and length > most:
             call.body = RequestBody(raw.content, length, None, raw.transport)
             call.framing = b"Content-Length: %d\r\n" % length
             return
-        call.body = await _read_body(raw, min(largest, _UNSTATED_BODY_BYTES))
-        call.framing = b"Content-Length: %d\r\n" % len(call.body)
+        held, ended = await self._hold_body(call, most)
+        if ended:
+            call.body = held
+            call.framing = b"Content-Length: %d\r\n" % len(held)
+            return
+        call.body = RequestBody(
+            raw.content, None, None, raw.transport, read=held, most=largest
+        )
+        call.framing = b"Transfer-Encoding: chunked\r\n"
+
+    def _bound_held_body(self) -> int:
+        """Return the size in bytes up to which a body is held whole now."""
+        full = self._held_bytes + _HELD_BODY_BYTES > _ALL_HELD_BYTES
+        return _SMALL_BODY_BYTES if full else _HELD_BODY_BYTES
+
+    async def _hold_body(self, call: _Call, most: int) -> tuple[bytes, bool]:
+        """Read a body up to a number of bytes; returns whether it ended."""
+        parts = []
+        size = 0
+        try:
+            while size <= most:
+                chunk = await call.raw.content.readany()
+                if not chunk:
+                    return b"".join(parts), True
+                parts.append(chunk)
+                size += len(chunk)
+                self._held_bytes += len(chunk)
+                call.held_bytes += len(chunk)
+        except (RequestPayloadError, ConnectionError) as error:
+            raise _UnreadableBodyError(400) from error
+        return b"".join(parts), False
 
     def _note(self, call: _Call, answer: Answer) -> None:
         elapsed_s = self._clock() - call.arrived_at
@@ -366,22 +427,6 @@
         )
 
 
-async def _read_body(raw: BaseRequest, largest: int) -> bytes:
-    parts = []
-    size = 0
-    try:
-        while True:
-            chunk = await raw.content.readany()
-            if not chunk:
-                return b"".join(parts)
-            parts.append(chunk)
-            size += len(chunk)
-            if size > largest:
-                raise _UnreadableBodyError(413)
-    except (RequestPayloadError, ConnectionError) as error:
-        raise _UnreadableBodyError(400) from error
-
-
 def _refuse(retry_after_s: float, close: bool = False) -> Answer:
     fields = [(b"Retry-After", b"%.3f" % retry_after_s)]
     if close:
--- a/basilwick/runtime/fleet/desk.py
+++ b/basilwick/runtime/fleet/desk.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from basilwick.runtime.fleet.loops import repeat
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable, Iterable
 
@@ -51,7 +53,7 @@
 
     async def start(self) -> None:
         """Begin to look at waiting requests."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("dispatch", _INTERVAL_S, self._look))
 
     async def close(self) -> None:
         """Stop; those who wait get no decision."""
@@ -102,10 +104,8 @@
             if reply is not None:
                 reply(decision)
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(_INTERVAL_S)
-            self.advance()
+    async def _look(self) -> None:
+        self.advance()
 
 
 class PeerPort:
--- a/basilwick/runtime/fleet/lead_role.py
+++ b/basilwick/runtime/fleet/lead_role.py
@@ -12,6 +12,7 @@
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.capacities import OwnerSelection
 from basilwick.runtime.fleet.desk import Desk
+from basilwick.runtime.fleet.loops import repeat
 from basilwick.runtime.fleet.range_keeper import DeposedError, RangeKeeper
 
 if TYPE_CHECKING:
@@ -91,14 +92,17 @@
         dispatcher = Dispatcher(view, self, bounds, deployment.regions, rng)
         self.desk = _MeasuringDesk(dispatcher, clock, self._keepers)
         self._tasks: list[asyncio.Task[None]] = []
+        self._planned_at = clock()
         self.deposed = False
 
     async def start(self) -> None:
         """Begin to lead."""
         await self.desk.start()
         self._tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(self._take_services()),
+            asyncio.create_task(repeat("orders", _TICK_INTERVAL_S, self._order)),
+            asyncio.create_task(
+                repeat("services", _TAKE_INTERVAL_S, self._take_new_services)
+            ),
         ]
 
     async def close(self) -> None:
@@ -119,22 +123,14 @@
             return KeyOwner(None, moving=True)
         return keeper.control.find_owner(service, key, now)
 
-    async def _run(self) -> None:
-        planned_at = self._clock()
-        while True:
+    async def _order(self) -> None:
+        for keeper in self._keepers.values():
+            keeper.tick()
+            self.deposed |= keeper.control.deposed
+        if self._clock() - self._planned_at >= _PLAN_INTERVAL_S:
+            self._planned_at = self._clock()
             for keeper in self._keepers.values():
-                keeper.tick()
-                self.deposed |= keeper.control.deposed
-            if self._clock() - planned_at >= _PLAN_INTERVAL_S:
-                planned_at = self._clock()
-                for keeper in self._keepers.values():
-                    keeper.plan()
-            await asyncio.sleep(_TICK_INTERVAL_S)
-
-    async def _take_services(self) -> None:
-        while True:
-            await self._take_new_services()
-            await asyncio.sleep(_TAKE_INTERVAL_S)
+                keeper.plan()
 
     async def _take_new_services(self) -> None:
         configuration = self._view.configuration
--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -16,6 +16,7 @@
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.table import RangeTable
 from basilwick.platform.store import WriteResult
+from basilwick.runtime.fleet.loops import repeat
 from basilwick.runtime.fleet.range_keeper import (
     OWN_PREFIX,
     decode_ranges,
@@ -183,7 +184,7 @@
 
     async def start(self) -> None:
         """Begin to look at who leads."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("leadership", _INTERVAL_S, self._look))
 
     async def close(self) -> None:
         """Stop; a leader gives its record up."""
@@ -204,19 +205,17 @@
         if self.leading:
             await self._resign(reason)
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                if self.leading:
-                    await self._renew()
-                    await asyncio.sleep(_RENEWAL_S)
-                    continue
-                await self._follow()
-            except PlatformUnavailableError as error:
-                logger.bind(reason=str(error)).debug("leader record not reached")
-            except ValueError as error:
-                logger.bind(reason=str(error)).warning("unreadable leader record")
-            await asyncio.sleep(_INTERVAL_S)
+    async def _look(self) -> float | None:
+        try:
+            if self.leading:
+                await self._renew()
+                return _RENEWAL_S
+            await self._follow()
+        except PlatformUnavailableError as error:
+            logger.bind(reason=str(error)).debug("leader record not reached")
+        except ValueError as error:
+            logger.bind(reason=str(error)).warning("unreadable leader record")
+        return None
 
     async def _follow(self) -> None:
         leader = self._state.leader
--- a/basilwick/runtime/fleet/links.py
+++ b/basilwick/runtime/fleet/links.py
@@ -18,6 +18,7 @@
     Send,
     SharedChanges,
 )
+from basilwick.runtime.fleet.loops import repeat
 from basilwick.transport.link import Link, connect_link, encode_message
 
 if TYPE_CHECKING:
@@ -76,7 +77,7 @@
         self._server = await loop.create_server(
             lambda: Link(self._take, self._drop), self._host, self._port
         )
-        self._task = asyncio.create_task(self._beat())
+        self._task = asyncio.create_task(repeat("beats", BEAT_INTERVAL_S, self._beat))
 
     async def close(self) -> None:
         """Close all links."""
@@ -131,11 +132,9 @@
             self._desk.drop(link)
 
     async def _beat(self) -> None:
-        while True:
-            await asyncio.sleep(BEAT_INTERVAL_S)
-            line = encode_message(self._make_beat())
-            for link in list(self._links):
-                link.send_line(line)
+        line = encode_message(self._make_beat())
+        for link in list(self._links):
+            link.send_line(line)
 
 
 def _reply(link: Link, decision: Decision | None) -> None:
@@ -192,7 +191,7 @@
 
     async def start(self) -> None:
         """Begin to keep a link to the leader."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("link", _RETRY_INTERVAL_S, self._keep))
 
     async def close(self) -> None:
         """Close the link."""
@@ -261,16 +260,14 @@
         for reply in replies.values():
             reply(None)
 
-    async def _run(self) -> None:
-        while True:
-            if self._link is None and self._address is not None:
-                await self._connect(self._address)
-            elif self._link is not None and self._replies and not self.alive:
-                # Those who wait decide by themselves while the leader is silent.
-                self._fail_waiting()
-            if self._link is not None and self.silent_s > _DEAD_AFTER_S:
-                self._link.close()
-            await asyncio.sleep(_RETRY_INTERVAL_S)
+    async def _keep(self) -> None:
+        if self._link is None and self._address is not None:
+            await self._connect(self._address)
+        elif self._link is not None and self._replies and not self.alive:
+            # Those who wait decide by themselves while the leader is silent.
+            self._fail_waiting()
+        if self._link is not None and self.silent_s > _DEAD_AFTER_S:
+            self._link.close()
 
     async def _connect(self, address: str) -> None:
         try:
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -13,7 +13,7 @@
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBounds
 from basilwick.core.dispatch.server_choice import Share
-from basilwick.core.dispatch.site import SiteView
+from basilwick.core.dispatch.site import CallerLimits, SiteView
 from basilwick.core.ranges.orders import OwnerTimes
 from basilwick.metrics import FleetMetrics
 from basilwick.platform.backends import read_answer_marks
@@ -24,6 +24,7 @@
 from basilwick.runtime.fleet.lead_role import LeadRole
 from basilwick.runtime.fleet.leadership import Leadership, SharedState
 from basilwick.runtime.fleet.links import LeaderLink, LinkListener
+from basilwick.runtime.fleet.loops import repeat
 from basilwick.runtime.fleet.routing_port import RoutingPort, StoredOwners
 from basilwick.runtime.fleet.site_watch import SiteWatch
 from basilwick.transport.exchange import Answer
@@ -50,7 +51,10 @@
 #: callers are sent to it until it was found not ready twice.
 _LEAVE_S = 2.4
 #: Time in seconds before the end of the stop at which running requests are given up.
-_STOP_MARGIN_S = 0.5
+_STOP_MARGIN_S = 0.4
+#: Share of the stop time, before its end, in which requests that wait for a server are
+#: refused instead.
+_LAST_SENDS_SHARE = 0.2
 #: Longest request line and header field in bytes.
 _MAX_FIELD_BYTES = 16_384
 #: Time in seconds after which an idle caller's connection is closed.
@@ -129,6 +133,7 @@
         )
         self._ready = HttpServer(deployment.ready_address, self._tell_ready)
         self._admin = HttpServer(deployment.metrics_address, self._tell_metrics)
+        self._limits = CallerLimits()
         self._task: asyncio.Task[None] | None = None
         self._stopping = False
 
@@ -144,7 +149,9 @@
         await self._link.start()
         await self._fallback.start()
         await self._leadership.start()
-        self._task = asyncio.create_task(self._expire())
+        self._task = asyncio.create_task(
+            repeat("expiry", _EXPIRE_INTERVAL_S, self._expire)
+        )
         logger.bind(
             instance=self._deployment.instance,
             data_centre=self._deployment.data_centre,
@@ -155,12 +162,7 @@
         logger.bind(instance=self._deployment.instance).info("instance stopping")
         self._stopping = True
         self._path.closing = True
-        stop_s = self._deployment.bounds.stop_s
-        leave_s = min(_LEAVE_S, stop_s / 2)
-        await self._leadership.retire()
-        await asyncio.sleep(leave_s)
-        self._callers.stop_accepting()
-        await self._callers.wait_idle(max(0.0, stop_s - leave_s - _STOP_MARGIN_S))
+        await self._drain()
         await self._leadership.close()
         await self._watch.close()
         await self._link.close()
@@ -172,6 +174,22 @@
         await self._store.close()
         logger.bind(instance=self._deployment.instance).info("instance stopped")
 
+    async def _drain(self) -> None:
+        """Answer all requests that are read until the end of the stop."""
+        stop_s = self._deployment.bounds.stop_s
+        ends_at = read_clock() + stop_s - _STOP_MARGIN_S
+        leaves_at = read_clock() + min(_LEAVE_S, stop_s / 2)
+        await self._leadership.retire()
+        await asyncio.sleep(max(0.0, leaves_at - read_clock()))
+        refuses_at = ends_at - stop_s * _LAST_SENDS_SHARE
+        if await self._callers.drain(refuses_at - read_clock()):
+            return
+        self._port.refuse_waiting()
+        if not await self._callers.drain(ends_at - read_clock()):
+            logger.bind(requests=self._callers.running).warning(
+                "stopping with requests that servers still run"
+            )
+
     def _bound_retries(self, ratio: float, slack: float) -> RetryBounds:
         bounds = self._deployment.bounds
         return RetryBounds(
@@ -206,13 +224,21 @@
             self._role = None
 
     async def _expire(self) -> None:
-        while True:
-            await asyncio.sleep(_EXPIRE_INTERVAL_S)
-            for server in self._view.expire(read_clock()):
-                self._client.forget(server.address)
-                self._fallback.dispatcher.forget_server(server.name)
-            if self._role is not None and self._role.deposed:
-                await self._leadership.step_down("servers follow another leader")
+        for server in self._view.expire(read_clock()):
+            self._client.forget(server.address)
+            self._fallback.dispatcher.forget_server(server.name)
+        if self._role is not None and self._role.deposed:
+            await self._leadership.step_down("servers follow another leader")
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        """Bound callers' connections as the configuration says."""
+        configuration = self._view.configuration
+        if configuration is not None and configuration.limits != self._limits:
+            self._limits = configuration.limits
+            self._callers.set_timeouts(
+                self._limits.idle_timeout_s, self._limits.header_timeout_s
+            )
 
     def _note_reload(self) -> None:
         logger.bind(instance=self._deployment.instance).info(
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING, Protocol
+from uuid import uuid4
 from zlib import compress, decompress
 from zlib import error as ZlibError
 
@@ -112,6 +113,8 @@
         self._times = times
         self._clock = clock
         self._authority = authority
+        # No order of another keeper or process has the same identity.
+        self._order_prefix = uuid4().hex.encode()
         self._key = get_ranges_key(self.service)
         self._revision = 0
         self._reserved = 0
@@ -191,7 +194,14 @@
     def _spawn(self, work: object) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_ended)
+
+    def _note_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).bind(service=self.service).error(
+                "carrying out an ownership decision failed unexpectedly"
+            )
 
     def _note_restarts(self, now: MonotonicSeconds) -> None:
         for item in list(self.control.table.ranges):
@@ -245,14 +255,18 @@
 
     async def _send(self, order: Order) -> None:
         server = self._view.get_server(order.server)
+        order_id = b"%b-%d" % (self._order_prefix, order.number)
         if server is None:
             answer = None
         elif isinstance(order, GrantOrder):
-            head = encode_grant(order, server.address)
-            answer = await self._call(server.address, head, self._times.order_timeout_s)
+            data = encode_grant(order, server.address, order_id)
+            timeout_s = self._times.order_timeout_s
+            answer = await self._call(server.address, order_id, data, timeout_s)
         else:
-            head = encode_release(order, server.address)
-            answer = await self._call(server.address, head, _RELEASE_TIMEOUT_S)
+            data = encode_release(order, server.address, order_id)
+            answer = await self._call(
+                server.address, order_id, data, _RELEASE_TIMEOUT_S
+            )
         result, hand_over = _interpret(answer)
         now = self._clock()
         if result is not OrderResult.OK:
@@ -281,8 +295,12 @@
         for order in self.control.tick(self._clock(), leased):
             self._spawn(self._send(order))
 
-    async def _call(self, address: str, data: bytes, timeout_s: float) -> object:
-        request = ServerRequest("POST", data, b"", b"", idempotent=True)
+    async def _call(
+        self, address: str, order_id: bytes, data: bytes, timeout_s: float
+    ) -> object:
+        request = ServerRequest(
+            "POST", data, b"", order_id, idempotent=True, needs_identity=False
+        )
         return await self._client.send(address, request, timeout_s, _ORDER_CONNECTIONS)
 
 
--- a/basilwick/runtime/fleet/routing_port.py
+++ b/basilwick/runtime/fleet/routing_port.py
@@ -24,6 +24,9 @@
 
 #: Time in seconds added to a request's own for the leader's refusal to arrive.
 _REPLY_SLACK_S = 0.05
+#: Time in seconds after which a caller of a stopping instance comes back; another
+#: instance takes its new connection.
+_STOPPING_RETRY_S = 0.05
 
 
 class StoredOwners:
@@ -58,6 +61,15 @@
         self._fallback = PeerPort(fallback, "self")
         self._own: PeerPort | None = None
         self._numbers = count(1)
+        self._waiting: dict[int, asyncio.Future[Decision | None]] = {}
+        self._refusing = False
+
+    def refuse_waiting(self) -> None:
+        """Refuse requests that wait for a server, and all later ones, at once."""
+        self._refusing = True
+        for number, future in self._waiting.items():
+            if not future.done():
+                future.set_result(_refuse_at_stop(number))
 
     def lead(self, desk: Desk | None) -> None:
         """Decide with the desk of the leader, which this instance is, or was."""
@@ -67,6 +79,8 @@
         """Return the decision on a request, and where its end is reported."""
         ask = evolve(ask, number=next(self._numbers))
         port = self._choose_port()
+        if self._refusing:
+            return _refuse_at_stop(ask.number), port
         decision = await self._ask(port, ask)
         if decision is None and port is not self._fallback:
             port = self._fallback
@@ -94,13 +108,23 @@
             elif isinstance(decision, Send):
                 port.cancel(ask.number)
 
+        self._waiting[ask.number] = future
         port.submit(ask, reply)
         try:
             async with asyncio.timeout(ask.time_left_s + _REPLY_SLACK_S):
-                return await future
+                decision = await future
+            if self._refusing and isinstance(decision, Refused):
+                port.cancel(ask.number)
+            return decision
         except TimeoutError:
             port.cancel(ask.number)
             return Refused(ask.number, 0.1, "no decision in time")
         except asyncio.CancelledError:
             port.cancel(ask.number)
             raise
+        finally:
+            del self._waiting[ask.number]
+
+
+def _refuse_at_stop(number: int) -> Refused:
+    return Refused(number, _STOPPING_RETRY_S, "the instance is stopping")
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -20,6 +20,7 @@
     decode_server,
 )
 from basilwick.platform.store import Change, HistoryLostError
+from basilwick.runtime.fleet.loops import repeat
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -130,7 +131,7 @@
 
     async def start(self) -> None:
         """Begin to read."""
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(repeat("site watch", 0.0, self._look))
 
     async def close(self) -> None:
         """Stop reading."""
@@ -138,22 +139,21 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    async def _run(self) -> None:
-        while True:
-            sent_at = self._clock()
-            try:
-                interval_s = await self._update(sent_at)
-            except HistoryLostError as error:
-                logger.bind(revision=self._cursor.revision, reason=str(error)).warning(
-                    "history of the platform's service is lost; listing all items"
-                )
-                self._cursor.revision = None
-                continue
-            except PlatformUnavailableError as error:
-                self._note_failure(error)
-                await asyncio.sleep(self._rng.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S))
-                continue
-            await asyncio.sleep(max(0.0, sent_at + interval_s - self._clock()))
+    async def _look(self) -> float:
+        """Update once; returns the pause in seconds."""
+        sent_at = self._clock()
+        try:
+            interval_s = await self._update(sent_at)
+        except HistoryLostError as error:
+            logger.bind(revision=self._cursor.revision, reason=str(error)).warning(
+                "history of the platform's service is lost; listing all items"
+            )
+            self._cursor.revision = None
+            return 0.0
+        except PlatformUnavailableError as error:
+            self._note_failure(error)
+            return self._rng.uniform(_MIN_PAUSE_S, _MAX_PAUSE_S)
+        return max(0.0, sent_at + interval_s - self._clock())
 
     async def _update(self, now: MonotonicSeconds) -> float:
         """Learn what is new; returns the time in seconds to the next update."""
--- a/basilwick/transport/bodies.py
+++ b/basilwick/transport/bodies.py
@@ -57,20 +57,26 @@
     ----------
     reader : aiohttp.StreamReader
         Source; its flow control bounds the memory in use.
-    length : int
-        Length in bytes by the Content-Length field.
+    length : int or None
+        Length in bytes by the Content-Length field, None if only its end tells it.
     digest : bytes or None
         Expected SHA-256 digest.
     transport : asyncio.BaseTransport or None
         Connection that is closed when the body is not read to its end.
+    read : bytes, optional
+        First piece, if it was read already.
+    most : int, optional
+        Largest length in bytes of a body without a stated one.
     """
 
     def __init__(
         self,
         reader: StreamReader,
-        length: int,
+        length: int | None,
         digest: bytes | None,
         transport: BaseTransport | None,
+        read: bytes = b"",
+        most: int | None = None,
     ):
         self.length = length
         self._reader = reader
@@ -78,15 +84,19 @@
         self._hash = sha256() if digest is not None else None
         self._transport = transport
         self._received = 0
+        self._read = read
+        self._most = most
         self._ended = False
 
     async def read_chunk(self) -> bytes | Refusal:
         """Return the next piece, empty at the end, or why there is none."""
         if self._ended:
             return b""
+        chunk, self._read = self._read, b""
         try:
-            async with timeout(_STALL_S):
-                chunk = await self._reader.readany()
+            if not chunk:
+                async with timeout(_STALL_S):
+                    chunk = await self._reader.readany()
         except TimeoutError:
             return self._mismatch(f"the caller sent nothing for {_STALL_S:.0f} s")
         except (RequestPayloadError, ClientPayloadError, ConnectionError) as error:
@@ -94,6 +104,8 @@
         self._received += len(chunk)
         if self._hash is not None:
             self._hash.update(chunk)
+        if self.length is None:
+            return self._check_unstated(chunk)
         if not chunk and self._received < self.length:
             return self._mismatch(
                 f"the body ended after {self._received} of {self.length} bytes"
@@ -106,6 +118,12 @@
                 return self._mismatch("the body does not match its Content-Digest")
         return chunk
 
+    def _check_unstated(self, chunk: bytes) -> bytes | Refusal:
+        if self._most is not None and self._received > self._most:
+            return self._mismatch(f"the body has more than {self._most} bytes")
+        self._ended = not chunk
+        return chunk
+
     def close(self) -> None:
         """Close the caller's connection when the body is not at its end."""
         if not self._ended and self._transport is not None:
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from itertools import count
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from typing import TYPE_CHECKING
@@ -38,6 +39,9 @@
 _IDLE_LIMIT_S = 12.0
 #: Linger on, for no time: a close resets the connection.
 _RESET_ON_CLOSE = pack("ii", 1, 0)
+#: Whole answers that may wait behind the one that is read; more of them end the
+#: connection, since nothing asked for them.
+_QUEUED_ANSWERS = 8
 #: Errors that mean that a connection gives no answer any more.
 LOST = (OSError, ClientError, HttpProcessingError, EofStream)
 
@@ -62,11 +66,22 @@
         self.received_at: MonotonicSeconds = 0.0
         self.idle_since: MonotonicSeconds = 0.0
         self._bodiless: bool | None = None
+        #: Whether a request was sent whose answer is not read yet.
+        self._awaited = False
 
     def data_received(self, data: bytes) -> None:
-        """Note the time of arrival and parse."""
+        """Note the time of arrival and parse.
+
+        Bytes that answer no request close the connection: they belong to no caller, and
+        a server that sends them without end would fill the memory.
+        """
         self.received_at = self._clock()
+        if not self._awaited:
+            self.abort_transport()
+            return
         super().data_received(data)
+        if len(self._buffer) > _QUEUED_ANSWERS:
+            self.fail(ConnectionError("the server sends answers without a request"))
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer without a length whose connection was reset.
@@ -100,6 +115,7 @@
 
     def write_head(self, head: bytes, bodiless: bool) -> None:
         """Send a request head, with a small body appended to it."""
+        self._awaited = True
         if bodiless is not self._bodiless:
             self._bodiless = bodiless
             self.set_response_params(
@@ -114,12 +130,33 @@
         self.transport.write(chunk)
         await self._drain_helper()
 
-    async def read_head(self) -> tuple[RawResponseMessage, StreamReader]:
-        """Return the head of the answer, after any interim answers."""
-        while True:
+    async def read_head(
+        self, most_interim: int | None = None
+    ) -> tuple[RawResponseMessage, StreamReader]:
+        """Return the head of the answer, after any interim answers.
+
+        Parameters
+        ----------
+        most_interim : int, optional
+            Interim answers (1xx) that are passed over at most; by default any number,
+            for peers that tell by them that they are still at work.
+
+        Raises
+        ------
+        ConnectionError
+            If more interim answers came.
+        """
+        for passed in count():
             message, payload = await self.read()
             if message.code >= 200:
                 return message, payload
+            if passed == most_interim:
+                break
+        raise ConnectionError(f"more than {most_interim} interim answers")
+
+    def end_exchange(self) -> None:
+        """Note that the answer was read; what arrives before the next one is stray."""
+        self._awaited = False
 
     def fail(self, error: Exception) -> None:
         """Make the reader of this connection fail and close it."""
@@ -153,6 +190,8 @@
         Source; its flow control bounds the memory in use.
     length : int or None
         Length in bytes if the head gave it.
+    read : bytes, optional
+        First piece, if it was read already.
     """
 
     def __init__(
@@ -161,7 +200,9 @@
         connection: HttpConnection,
         payload: StreamReader,
         length: int | None,
+        read: bytes = b"",
     ):
+        self._read = read
         self.length = length
         #: Called once when the body was read or given up.
         self.on_end: Callable[[], None] | None = None
@@ -173,6 +214,9 @@
         """Return the next piece, empty at the end, or why there is none."""
         if self._connection is None:
             return b""
+        if self._read:
+            chunk, self._read = self._read, b""
+            return chunk
         try:
             chunk = await self._payload.readany()
         except LOST as error:
@@ -261,6 +305,7 @@
     def release(self, connection: HttpConnection, reusable: bool) -> None:
         """Give a connection back; one that is not reusable is closed."""
         if reusable and connection.usable and not self._closed:
+            connection.end_exchange()
             connection.idle_since = self._clock()
             self._idle.append(connection)
         else:
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -14,6 +14,7 @@
 from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
 
 if TYPE_CHECKING:
+    from asyncio import BaseTransport
     from collections.abc import Awaitable, Callable
 
     from aiohttp.web import BaseRequest
@@ -26,6 +27,15 @@
 #: Time in seconds for which the rest of a refused body is read, so that the caller
 #: gets to read the refusal before the connection closes.
 _LINGER_S = 1.0
+#: Longest time in seconds from the first byte of a head to its end.
+_HEAD_TIMEOUT_S = 10.0
+#: Interval in seconds at which incomplete heads are looked for.
+_SWEEP_INTERVAL_S = 0.5
+#: Time in seconds without a byte after which a connection is closed in a planned stop.
+#: A request that follows the opening of its connection is still read.
+_QUIET_S = 0.25
+#: Interval in seconds at which a planned stop looks at open connections.
+_DRAIN_INTERVAL_S = 0.02
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in HTTPStatus
@@ -91,6 +101,9 @@
         An answer that stops half way aborts the connection.
         """
         request = self._request
+        if request.protocol.has_queued_requests and request.keep_alive:
+            # Whoever sent them gets answers before the connection closes.
+            self.keep_alive = True
         body = answer.body
         chunked = False
         if isinstance(body, bytes):
@@ -158,7 +171,46 @@
 class _Protocol(RequestHandler):
     """Answers unreadable requests with the JSON refusals of the interface."""
 
-    __slots__ = ()
+    __slots__ = ("_active_at", "_head_since")
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        self._active_at = self._loop.time()
+        #: Time since which the head of a request is incomplete, None if none is.
+        self._head_since: float | None = None
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._active_at = self._loop.time()
+        known = self._request_count
+        super().data_received(data)
+        if self._request_count > known or not self._awaits_request:
+            self._head_since = None
+        elif self._head_since is None and data.strip(b"\r\n"):
+            self._head_since = self._active_at
+
+    @property
+    def _awaits_request(self) -> bool:
+        """Whether every request that was read has its answer."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
+
+    @property
+    def has_queued_requests(self) -> bool:
+        """Whether requests were read behind the one that runs."""
+        return bool(self._messages)
+
+    def close_if_idle(self, quiet_s: float) -> None:
+        """Close unless a request, or a part of one, was read, or bytes came lately."""
+        quiet = self._loop.time() - self._active_at >= quiet_s
+        if quiet and self._awaits_request and self._head_since is None:
+            self.force_close()
+
+    def close_if_late(self, head_timeout_s: float) -> None:
+        """Close if the head of a request has been incomplete for too long."""
+        since = self._head_since
+        if since is not None and self._loop.time() - since >= head_timeout_s:
+            self._head_since = None
+            self.force_close()
 
     def handle_error(
         self,
@@ -197,6 +249,9 @@
     def __call__(self) -> RequestHandler:
         return _Protocol(self, loop=self._loop, **self._kwargs)
 
+    def set_idle_timeout(self, seconds: float) -> None:
+        self._kwargs["keepalive_timeout"] = seconds
+
 
 class HttpServer:
     """Listens on one address and counts the requests that run.
@@ -227,6 +282,8 @@
         self._handler = handler
         self._protocols: _Protocols | None = None
         self._server: asyncio.Server | None = None
+        self._head_timeout_s = _HEAD_TIMEOUT_S
+        self._sweep: asyncio.Task[None] | None = None
         self.running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -256,6 +313,23 @@
             self._protocols, self._host, self._port, backlog=1024
         )
         self._port = self._server.sockets[0].getsockname()[1]
+        self._sweep = asyncio.create_task(self._close_late_heads())
+
+    def set_timeouts(self, idle_s: float, head_s: float) -> None:
+        """Change the bounds of connections.
+
+        Parameters
+        ----------
+        idle_s : float
+            Time in seconds after which an idle connection is closed; holds for
+            connections that are opened from now on.
+        head_s : float
+            Longest time in seconds from the first byte of a head to its end.
+        """
+        self._keep_alive_s = idle_s
+        self._head_timeout_s = head_s
+        if self._protocols is not None:
+            self._protocols.set_idle_timeout(idle_s)
 
     def stop_accepting(self) -> None:
         """Refuse new connections; open ones stay."""
@@ -271,12 +345,48 @@
             return False
         return True
 
+    async def drain(self, timeout_s: float) -> bool:
+        """Answer what was read, and close each connection once it is idle.
+
+        A connection is closed only while nothing of a request was read from it, so no
+        caller loses a request that this process has. New connections get some time for
+        their first request.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time in seconds to wait for requests that run.
+
+        Returns
+        -------
+        bool
+            Whether all connections are closed.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        self.stop_accepting()
+        while self._protocols.connections:
+            for protocol in self._protocols.connections:
+                protocol.close_if_idle(_QUIET_S)
+            if loop.time() >= deadline:
+                return False
+            await asyncio.sleep(_DRAIN_INTERVAL_S)
+        return True
+
     async def close(self) -> None:
         """Close all connections."""
         self.stop_accepting()
+        if self._sweep is not None:
+            self._sweep.cancel()
         if self._protocols is not None:
             await self._protocols.shutdown(0.1)
 
+    async def _close_late_heads(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_INTERVAL_S)
+            for protocol in self._protocols.connections:
+                protocol.close_if_late(self._head_timeout_s)
+
     async def _count(self, request: BaseRequest) -> RawResponse:
         self.running += 1
         self._idle.clear()
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -45,6 +45,19 @@
 }
 _TAGS = {kind: tag for tag, kind in _TYPES.items()}
 _NAMES = {kind: [f.name for f in list_fields(kind)] for kind in _TYPES.values()}
+#: What a decoded value may be, by the annotation of its field.
+_JSON_TYPES = {
+    "bool": bool,
+    "float": (int, float),
+    "int": int,
+    "str": str,
+    "SendOutcome": str,
+    "tuple[ItemChange, ...]": list,
+    "tuple[str, ...]": list,
+}
+_VALUE_TYPES = {
+    kind: [_JSON_TYPES[f.type] for f in list_fields(kind)] for kind in _TYPES.values()
+}
 #: A peer that leaves this many bytes unread is given up.
 _MAX_UNREAD_BYTES = 1 << 20
 _MAX_LINE_BYTES = 1 << 20
@@ -72,6 +85,9 @@
     try:
         tag, *values = loads(line)
         kind = _TYPES[tag]
+        for value, expected in zip(values, _VALUE_TYPES[kind], strict=False):
+            if not isinstance(value, expected):
+                raise TypeError(f"{value!r} is not of type {expected}")
         if kind is Done:
             values[1] = SendOutcome(values[1])
         elif kind is SharedChanges:
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, field, frozen
+from loguru import logger
 
 from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.errors import Refusal
@@ -38,6 +39,10 @@
 _IDLE_LIMIT_ONCE_S = 1.5
 #: Answers to other requests that are passed over before a connection is given up.
 _STRAY_ANSWERS = 3
+#: Interim answers (1xx) that are passed over before an answer.
+_INTERIM_ANSWERS = 8
+#: Status by which a server says that the request was meant for another one.
+_MISDIRECTED = 421
 
 
 @frozen
@@ -54,6 +59,11 @@
         Identity that the answer repeats; empty if it is not checked.
     idempotent : bool
         Whether it may be sent again after a doubtful end.
+    chunked : bool
+        Whether the body is sent in chunks, because its length is not known.
+    needs_identity : bool
+        Whether an answer that repeats no identity is passed over, unless it says that
+        the request did not run.
     """
 
     method: str
@@ -61,6 +71,8 @@
     body: bytes | ByteStream
     request_id: bytes
     idempotent: bool
+    chunked: bool = False
+    needs_identity: bool = True
 
 
 @frozen
@@ -158,6 +170,12 @@
             if attempt.connection is None:
                 return SendFailure(SendOutcome.UNREACHABLE, False, repr(error))
             return SendFailure(SendOutcome.LOST, attempt.wrote, repr(error))
+        except Exception as error:
+            # Whatever a server sends, the caller gets an answer and the slot is freed.
+            logger.opt(exception=error).bind(address=address).error(
+                "send failed unexpectedly"
+            )
+            return SendFailure(SendOutcome.LOST, attempt.wrote, repr(error))
         finally:
             if attempt.connection is not None:
                 pool.release(attempt.connection, attempt.reusable)
@@ -193,19 +211,28 @@
         self, connection: HttpConnection, request: ServerRequest
     ) -> tuple[RawResponseMessage, StreamReader]:
         for _ in range(_STRAY_ANSWERS):
-            message, payload = await connection.read_head()
+            message, payload = await connection.read_head(_INTERIM_ANSWERS)
             marks = self._read_marks(message.raw_headers)
             if not request.request_id or marks.request_id == request.request_id:
                 return message, payload
-            if not marks.request_id and marks.not_run:
+            if not marks.request_id and (
+                not request.needs_identity or _says_not_run(message.code, marks)
+            ):
+                # A later copy of this answer could be taken for that to the next
+                # request, because nothing tells them apart.
+                connection.force_close()
                 return message, payload
-            await payload.read()
+            _, ended = await _read_up_to(payload, SMALL_BODY_BYTES)
+            if not ended:
+                break
         raise ConnectionError("the connection carries answers to other requests")
 
     async def _send_stream(
         self, connection: HttpConnection, request: ServerRequest
     ) -> tuple[RawResponseMessage, StreamReader] | SendFailure:
-        pump = asyncio.create_task(_pump_body(connection, request.body))
+        pump = asyncio.create_task(
+            _pump_body(connection, request.body, request.chunked)
+        )
         head = asyncio.create_task(self._read_own_head(connection, request))
         try:
             await asyncio.wait({pump, head}, return_when=asyncio.FIRST_COMPLETED)
@@ -241,21 +268,46 @@
                 length = int(value)
             elif not is_own_field(lower):
                 fields.append((name, value))
+        body: bytes | AnswerStream = b""
+        ended = False
         if length is None or length <= SMALL_BODY_BYTES:
-            body: bytes | AnswerStream = await payload.read()
+            body, ended = await _read_up_to(payload, SMALL_BODY_BYTES)
+        if ended:
             attempt.reusable = True
         else:
-            body = AnswerStream(pool, attempt.connection, payload, length)
+            body = AnswerStream(pool, attempt.connection, payload, length, body)
             attempt.connection = None
         return ServerAnswer(message.code, fields, body, length, marks, latency_s)
 
 
-async def _pump_body(connection: HttpConnection, body: ByteStream) -> bool:
+def _says_not_run(status: int, marks: AnswerMarks) -> bool:
+    return marks.not_run or status == _MISDIRECTED
+
+
+async def _read_up_to(payload: StreamReader, most: int) -> tuple[bytes, bool]:
+    """Read a body until more than a number of bytes came; returns whether it ended."""
+    parts = []
+    size = 0
+    while chunk := await payload.readany():
+        parts.append(chunk)
+        size += len(chunk)
+        if size > most:
+            return b"".join(parts), False
+    return b"".join(parts), True
+
+
+async def _pump_body(
+    connection: HttpConnection, body: ByteStream, chunked: bool
+) -> bool:
     """Send a body piece by piece; returns whether it was whole."""
     while True:
         chunk = await body.read_chunk()
         if isinstance(chunk, Refusal):
             return False
+        if chunked:
+            # An empty piece becomes the last chunk, which ends the body.
+            await connection.write_chunk(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        elif chunk:
+            await connection.write_chunk(chunk)
         if not chunk:
             return True
-        await connection.write_chunk(chunk)
