--- a/basilwick/fakes/kv_service.py
+++ b/basilwick/fakes/kv_service.py
@@ -140,10 +140,11 @@
     async def _watch(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
         prefix = request.query["pathPrefix"]
-        if after < self._first_revision - 1:
-            return web.Response(status=410)
         deadline = monotonic() + int(request.query["waitMs"]) / 1000
         while True:
+            # The history can also be dropped while a watch waits.
+            if after < self._first_revision - 1:
+                return web.Response(status=410)
             events = [
                 event
                 for event in self._history
