Look up what a choice of servers needs once for each version of the view

Change: candidates are kept with their load and slots; coldness is asked only of a server that would be chosen; waiting requests are checked each 60 ms.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -39,6 +39,8 @@
 #: Shortest and longest time to come back, in seconds.
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 2.0
+#: Interval in seconds at which waiting requests are checked for another owner.
+_REHOME_INTERVAL_S = 0.06
 #: Late requests that may wait, in units of the slots that serve them.
 _LATE_QUEUE_PER_SLOT = 1.0
 
@@ -279,8 +281,9 @@
         self, lane: Lane, now: MonotonicSeconds
     ) -> list[tuple[Hashable, Decision]]:
         """Place the requests of a lane again whose keys have another owner now."""
-        if lane.owner is None:
+        if lane.owner is None or now - lane.checked_at < _REHOME_INTERVAL_S:
             return []
+        lane.checked_at = now
         waiting = [entry[3] for entry in lane.on_time]
         waiting += [entry[2] for entry in lane.late]
         moved = [
--- a/basilwick/core/dispatch/lanes.py
+++ b/basilwick/core/dispatch/lanes.py
@@ -36,6 +36,8 @@
     owner: ServerName | None
     on_time: list[tuple[int, float, int, Ticket]] = field(factory=list)
     late: list[tuple[float, int, Ticket]] = field(factory=list)
+    #: Local time at which the owners of the waiting requests' keys were last looked up.
+    checked_at: MonotonicSeconds = float("-inf")
 
     def count_ahead(self, priority: int, target_at: float) -> int:
         """Return the number of requests that are served before a new one."""
--- a/basilwick/core/dispatch/server_choice.py
+++ b/basilwick/core/dispatch/server_choice.py
@@ -19,6 +19,8 @@
 #: Time in seconds for which a byte between data centres makes up. Such bytes are paid
 #: for, so a large body leaves its data centre only for a much quicker server.
 _CROSSING_S_PER_BYTE = 1e-6
+#: Cost of a cold server in units of the ordinary one.
+_COLD_COST = 2.0
 #: Cost of a server that an earlier attempt was sent to, in units of the usual work.
 _TRIED_COST = 10.0
 
@@ -39,12 +41,21 @@
     rate: float = 1.0
 
 
+@define
+class _Candidate:
+    """A server that may get requests, with its load and the slots that may be used."""
+
+    server: ServerEntry
+    load: ServerLoad
+    slots: int
+
+
 @define
 class _ServiceServers:
     """Servers of a service as of a version of the view."""
 
     version: int
-    servers: list[ServerEntry]
+    candidates: list[_Candidate]
 
 
 @define(eq=False)
@@ -79,26 +90,31 @@
         usual_s : float
             Usual work time of the service in seconds.
         """
-        best = None
+        best: _Candidate | None = None
         best_score = float("inf")
-        for server in self._list_servers(lane, ask):
-            load = self.measure_load(server.name)
-            slots = self._get_slots(server)
+        tried = ask.tried if lane.owner is None else ()
+        crossing_s = ask.size * _CROSSING_S_PER_BYTE
+        for candidate in self._list_candidates(lane, ask):
+            server, load, slots = candidate.server, candidate.load, candidate.slots
             if load.running >= slots or now < load.blocked_until:
                 continue
-            cold = self._view.is_cold(server.name, now)
-            score = load.score(usual_s, slots, cold, now)
-            if server.name in ask.tried and lane.owner is None:
+            score = load.score(usual_s, slots, now)
+            if server.name in tried:
                 score += _TRIED_COST * usual_s
             if server.data_centre != ask.data_centre:
-                score += ask.size * _CROSSING_S_PER_BYTE
-            if score >= best_score or (cold and not self._may_warm(load, lane, now)):
+                score += crossing_s
+            if score >= best_score:
                 continue
-            best, best_score = server, score
-        if best is not None and self._view.is_cold(best.name, now):
-            warm_up = self.measure_load(best.name).warm_up
-            warm_up.try_take(self._get_warm_up_rate(lane), now)
-        return best
+            if self._view.is_cold(server.name, now):
+                score += (_COLD_COST - 1.0) * load.score(usual_s, slots, now)
+                if score >= best_score or not self._may_warm(load, lane, now):
+                    continue
+            best, best_score = candidate, score
+        if best is None:
+            return None
+        if self._view.is_cold(best.server.name, now):
+            best.load.warm_up.try_take(self._get_warm_up_rate(lane), now)
+        return best.server
 
     def measure_load(self, name: ServerName) -> ServerLoad:
         """Return what is known of a server's load."""
@@ -110,13 +126,14 @@
     def forget(self, name: ServerName) -> None:
         """Drop what is known of a server that is gone."""
         self._loads.pop(name, None)
+        self._services.clear()
 
     def count_slots(self, lane: Lane, now: MonotonicSeconds) -> int:
         """Return the number of slots of the servers that can be reached."""
         return sum(
-            self._get_slots(server)
-            for server in self._list_servers(lane)
-            if now >= self.measure_load(server.name).blocked_until
+            candidate.slots
+            for candidate in self._list_candidates(lane)
+            if now >= candidate.load.blocked_until
         )
 
     def estimate_work(self, lane: Lane, usual_s: float, now: MonotonicSeconds) -> float:
@@ -138,19 +155,25 @@
             return server.slots
         return min(server.slots, self.share.slots)
 
-    def _list_servers(self, lane: Lane, ask: Ask | None = None) -> list[ServerEntry]:
+    def _list_candidates(self, lane: Lane, ask: Ask | None = None) -> list[_Candidate]:
         if lane.owner is not None:
             owner = self._view.get_server(lane.owner)
-            return [owner] if owner and self._view.may_use(lane.owner) else []
+            may_use = owner is not None and self._view.may_use(lane.owner)
+            return [self._make_candidate(owner)] if may_use else []
         known = self._services.get(lane.service)
         if known is None or known.version != self._view.version:
             servers = self._view.list_servers(lane.service)
-            known = _ServiceServers(self._view.version, servers)
+            candidates = [self._make_candidate(server) for server in servers]
+            known = _ServiceServers(self._view.version, candidates)
             self._services[lane.service] = known
         if ask is None or not ask.home_regions:
-            return known.servers
+            return known.candidates
         return [
-            server
-            for server in known.servers
-            if self._regions.get(server.data_centre) in ask.home_regions
+            candidate
+            for candidate in known.candidates
+            if self._regions.get(candidate.server.data_centre) in ask.home_regions
         ]
+
+    def _make_candidate(self, server: ServerEntry) -> _Candidate:
+        load = self.measure_load(server.name)
+        return _Candidate(server, load, self._get_slots(server))
--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -28,8 +28,6 @@
 _LONGEST_BLOCK_S = 2.0
 #: Work that a failed request stands for, in units of the mean work.
 _FAILURE_COST = 3.0
-#: Work time of a cold server in units of the ordinary one.
-_COLD_COST = 2.0
 #: Share of the warm-up rate that may be sent at one moment.
 _BURST_S = 0.1
 _FAILURES = (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.SHED)
@@ -92,15 +90,13 @@
         weight = exp((self._measured_at - now) / _FORGET_S)
         return usual_s + weight * (self.work_s - usual_s)
 
-    def score(
-        self, usual_s: float, slots: int, cold: bool, now: MonotonicSeconds
-    ) -> float:
+    def score(self, usual_s: float, slots: int, now: MonotonicSeconds) -> float:
         """Return the cost of sending here, in seconds; the least one is best."""
         cost = self.estimate_work(usual_s, now)
         cost *= 1.0 + 0.25 * self.running / max(1, slots)
         if now - self._measured_at <= _FAILURES_COUNT_S:
             cost += self.failure_share * _FAILURE_COST * usual_s
-        return cost * _COLD_COST if cold else cost
+        return cost
 
     def finish(
         self, outcome: SendOutcome, latency_s: float, now: MonotonicSeconds
