Wake an instance that does not lead only when it has something to do

An instance that decides nothing woke up some 100 times a second: a look at waiting requests each 20 ms, looks at the link, the leader, the store and gone servers each 100 ms, two a second for each of three ports, and ten signs of life.

Change: waiting requests are looked at only while there are some; heads that do not end have a timer of their own; looks are rarer while the leader is heard; signs of life come each 0.1 s up to 60 instances and each 0.33 s at 195, and tell their interval, which the time of silence follows.

--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -156,6 +156,8 @@
         Revision of the last change of the instances' own items.
     most_cores : float
         Processor cores of the strongest linked instance, or of the leader.
+    interval_s : float
+        Seconds until the next sign of life.
     """
 
     instances: int
@@ -163,6 +165,7 @@
     age_s: float = 0.0
     own_revision: int = 0
     most_cores: float = 0.0
+    interval_s: float = 0.1
 
 
 @frozen
--- a/basilwick/runtime/fleet/desk.py
+++ b/basilwick/runtime/fleet/desk.py
@@ -49,6 +49,8 @@
         self._clock = clock
         self._replies: dict[Hashable, Callable[[Decision | None], None]] = {}
         self._peers: dict[Hashable, set[Hashable]] = {}
+        #: Set while requests wait for a decision.
+        self._waiting = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -72,7 +74,9 @@
         self._peers.setdefault(peer, set()).add(ticket_id)
         self._replies[ticket_id] = reply
         decision = self.dispatcher.submit(ticket_id, ask, self._clock())
-        if decision is not None:
+        if decision is None:
+            self._waiting.set()
+        else:
             self._deliver([(ticket_id, decision)])
 
     def finish(self, peer: Hashable, done: Done) -> None:
@@ -105,6 +109,10 @@
                 reply(decision)
 
     async def _look(self) -> None:
+        # An instance that decides nothing by itself is not woken up.
+        if not self._replies:
+            self._waiting.clear()
+        await self._waiting.wait()
         self.advance()
 
 
--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -40,8 +40,9 @@
 _LEASE_MARGIN_S = 0.3
 #: Interval in seconds between renewals of the leader's lease.
 _RENEWAL_S = 0.5
-#: Interval in seconds between looks at who leads.
+#: Interval in seconds between looks at who leads, and while the leader is heard.
 _INTERVAL_S = 0.1
+_CALM_INTERVAL_S = 0.25
 #: Longest random delay in seconds before an instance tries to lead.
 _SPREAD_S = 0.25
 #: Time in seconds that an instance leaves to stronger ones before it tries to lead. The
@@ -211,6 +212,8 @@
                 await self._renew()
                 return _RENEWAL_S
             await self._follow()
+            if self._link.alive:
+                return _CALM_INTERVAL_S
         except PlatformUnavailableError as error:
             logger.bind(reason=str(error)).debug("leader record not reached")
         except ValueError as error:
--- a/basilwick/runtime/fleet/links.py
+++ b/basilwick/runtime/fleet/links.py
@@ -31,17 +31,23 @@
 
 __all__ = ["LeaderLink", "LinkListener"]
 
-#: Interval in seconds between the leader's signs of life.
+#: Shortest interval in seconds between the leader's signs of life. It grows with the
+#: number of linked instances, so that their sum stays below a bound.
 BEAT_INTERVAL_S = 0.1
-#: A leader that sent nothing for this long, in seconds, is not asked.
-_SILENT_AFTER_S = 0.35
+_BEATS_PER_S = 600.0
+_LONGEST_BEAT_INTERVAL_S = 0.4
+#: A leader that sent nothing for this long beyond the interval, in seconds, is not
+#: asked.
+_SILENT_AFTER_S = 0.25
 #: A link that carried nothing for this long, in seconds, is opened anew.
 _DEAD_AFTER_S = 1.0
 #: Shared changes with more bytes than this are not passed on; the other instances read
 #: them by themselves.
 _MAX_SHARED_BYTES = 256 << 10
-#: Interval in seconds between attempts to reach the leader.
+#: Interval in seconds between attempts to reach the leader, and between looks at a link
+#: on which nothing is waited for.
 _RETRY_INTERVAL_S = 0.1
+_CALM_INTERVAL_S = 0.3
 
 
 class LinkListener:
@@ -77,19 +83,18 @@
         self._server = await loop.create_server(
             lambda: Link(self._take, self._drop), self._host, self._port
         )
-        self._task = asyncio.create_task(repeat("beats", BEAT_INTERVAL_S, self._beat))
 
     async def close(self) -> None:
         """Close all links."""
         self.lead(None)
         if self._server is not None:
             self._server.close()
-        if self._task is not None:
-            self._task.cancel()
 
     def _make_beat(self) -> Beat:
         cores = [self._hello.cores, *(link.peer.cores for link in self._links)]
-        return self.describe(Beat(self.instances, most_cores=max(cores)))
+        interval_s = compute_beat_interval(self.instances)
+        beat = Beat(self.instances, most_cores=max(cores), interval_s=interval_s)
+        return self.describe(beat)
 
     def share(self, changes: SharedChanges) -> None:
         """Pass changes of the platform's service on to all linked instances."""
@@ -105,9 +110,14 @@
     def lead(self, desk: Desk | None) -> None:
         """Answer with a desk, or with none any more."""
         self._desk = desk
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
         if desk is None:
             for link in list(self._links):
                 link.close()
+            return
+        self._task = asyncio.create_task(repeat("beats", 0.0, self._beat))
 
     def _take(self, link: Link, message: LinkMessage) -> None:
         desk = self._desk
@@ -131,10 +141,18 @@
         if self._desk is not None:
             self._desk.drop(link)
 
-    async def _beat(self) -> None:
-        line = encode_message(self._make_beat())
+    async def _beat(self) -> float:
+        """Send a sign of life; returns the time in seconds to the next one."""
+        beat = self._make_beat()
+        line = encode_message(beat)
         for link in list(self._links):
             link.send_line(line)
+        return beat.interval_s
+
+
+def compute_beat_interval(instances: int) -> float:
+    """Return the interval in seconds between signs of life to a number of instances."""
+    return min(_LONGEST_BEAT_INTERVAL_S, max(BEAT_INTERVAL_S, instances / _BEATS_PER_S))
 
 
 def _reply(link: Link, decision: Decision | None) -> None:
@@ -180,9 +198,9 @@
     @property
     def alive(self) -> bool:
         """Whether the leader was heard lately."""
-        return (
-            self._link is not None and self._clock() - self._heard_at < _SILENT_AFTER_S
-        )
+        interval_s = BEAT_INTERVAL_S if self._beat is None else self._beat.interval_s
+        silent_after_s = interval_s + _SILENT_AFTER_S
+        return self._link is not None and self.silent_s < silent_after_s
 
     @property
     def silent_s(self) -> float:
@@ -260,7 +278,8 @@
         for reply in replies.values():
             reply(None)
 
-    async def _keep(self) -> None:
+    async def _keep(self) -> float:
+        """Look after the link; returns the time in seconds to the next look."""
         if self._link is None and self._address is not None:
             await self._connect(self._address)
         elif self._link is not None and self._replies and not self.alive:
@@ -268,6 +287,8 @@
             self._fail_waiting()
         if self._link is not None and self.silent_s > _DEAD_AFTER_S:
             self._link.close()
+        calm = self._link is not None and not self._replies
+        return _CALM_INTERVAL_S if calm else _RETRY_INTERVAL_S
 
     async def _connect(self, address: str) -> None:
         try:
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -46,7 +46,7 @@
 _ALONE_RATIO = 0.1
 _ALONE_SLACK = 0.02
 #: Interval in seconds at which gone servers are forgotten.
-_EXPIRE_INTERVAL_S = 0.1
+_EXPIRE_INTERVAL_S = 0.5
 #: Time in seconds for which a stopping instance still takes new connections, because
 #: callers are sent to it until it was found not ready twice.
 _LEAVE_S = 2.4
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -44,7 +44,7 @@
 #: The same for the leader, below the age up to which its changes count as complete.
 _LEADER_WAIT_S = 0.7
 #: Interval in seconds at which an instance checks whether the leader keeps it current.
-_CHECK_S = 0.1
+_CHECK_S = 0.3
 #: Time in seconds without news after which all items are listed. The changes of a
 #: longer time can be more than a slow link carries in the time for one call.
 _RELIST_AFTER_S = 3.0
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -29,8 +29,6 @@
 _LINGER_S = 1.0
 #: Longest time in seconds from the first byte of a head to its end.
 _HEAD_TIMEOUT_S = 10.0
-#: Interval in seconds at which incomplete heads are looked for.
-_SWEEP_INTERVAL_S = 0.5
 #: Time in seconds without a byte after which a connection is closed in a planned stop.
 #: A request that follows the opening of its connection is still read.
 _QUIET_S = 0.25
@@ -187,6 +185,8 @@
             self._head_since = None
         elif self._head_since is None and data.strip(b"\r\n"):
             self._head_since = self._active_at
+            timeout_s = self._manager.head_timeout_s
+            self._loop.call_later(timeout_s, self._close_if_late, self._active_at)
 
     @property
     def _awaits_request(self) -> bool:
@@ -210,11 +210,9 @@
         if quiet and self._awaits_request and self._head_since is None:
             self.force_close()
 
-    def close_if_late(self, head_timeout_s: float) -> None:
-        """Close if the head of a request has been incomplete for too long."""
-        since = self._head_since
-        if since is not None and self._loop.time() - since >= head_timeout_s:
-            self._head_since = None
+    def _close_if_late(self, since: float) -> None:
+        """Close if the head that began at a time is still incomplete."""
+        if self._head_since == since:
             self.force_close()
 
     def handle_error(
@@ -253,6 +251,8 @@
 class _Protocols(Server):
     #: Whether connections close after their last answers.
     leaving = False
+    #: Longest time in seconds from the first byte of a head to its end.
+    head_timeout_s = _HEAD_TIMEOUT_S
 
     def __call__(self) -> RequestHandler:
         return _Protocol(self, loop=self._loop, **self._kwargs)
@@ -290,8 +290,6 @@
         self._handler = handler
         self._protocols: _Protocols | None = None
         self._server: asyncio.Server | None = None
-        self._head_timeout_s = _HEAD_TIMEOUT_S
-        self._sweep: asyncio.Task[None] | None = None
         self.running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -321,7 +319,6 @@
             self._protocols, self._host, self._port, backlog=1024
         )
         self._port = self._server.sockets[0].getsockname()[1]
-        self._sweep = asyncio.create_task(self._close_late_heads())
 
     def set_timeouts(self, idle_s: float, head_s: float) -> None:
         """Change the bounds of connections.
@@ -335,8 +332,8 @@
             Longest time in seconds from the first byte of a head to its end.
         """
         self._keep_alive_s = idle_s
-        self._head_timeout_s = head_s
         if self._protocols is not None:
+            self._protocols.head_timeout_s = head_s
             self._protocols.set_idle_timeout(idle_s)
 
     def announce_close(self) -> None:
@@ -389,17 +386,9 @@
     async def close(self) -> None:
         """Close all connections."""
         self.stop_accepting()
-        if self._sweep is not None:
-            self._sweep.cancel()
         if self._protocols is not None:
             await self._protocols.shutdown(0.1)
 
-    async def _close_late_heads(self) -> None:
-        while True:
-            await asyncio.sleep(_SWEEP_INTERVAL_S)
-            for protocol in self._protocols.connections:
-                protocol.close_if_late(self._head_timeout_s)
-
     async def _count(self, request: BaseRequest) -> RawResponse:
         self.running += 1
         self._idle.clear()
--- /dev/null
+++ b/tests/runtime/fleet/test_links.py
@@ -0,0 +1,16 @@
+"""Signs of life of the leader."""
+
+from __future__ import annotations
+
+import pytest
+
+from basilwick.runtime.fleet.links import compute_beat_interval
+
+
+@pytest.mark.parametrize("instances", [1, 10, 60, 195, 6_568])
+def test_signs_of_life_stay_below_a_rate_until_the_longest_interval(instances):
+    """At 195 instances they took more processor time than the callers' requests."""
+    interval_s = compute_beat_interval(instances)
+    assert 0.1 <= interval_s <= 0.4
+    if interval_s < 0.4:
+        assert instances / interval_s <= 600.1
