--- a/basilwick/runtime/fleet/caller_path.py
+++ b/basilwick/runtime/fleet/caller_path.py
@@ -5,8 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from aiohttp.web import RequestPayloadError
-from attrs import define
+from attrs import define, field
 from loguru import logger
 
 from basilwick.core.dispatch.answer_sizes import AnswerSizes
@@ -16,7 +15,11 @@
 from basilwick.core.types import Operation
 from basilwick.logs import log_decision
 from basilwick.platform.backends import encode_request_head, read_caller_marks
-from basilwick.transport.bodies import RequestBody
+from basilwick.runtime.fleet.caller_bodies import (
+    CallerBodies,
+    CallerBody,
+    UnreadableBodyError,
+)
 from basilwick.transport.exchange import Answer
 from basilwick.transport.http_server import RawResponse
 from basilwick.transport.server_client import SendFailure, ServerAnswer, ServerRequest
@@ -38,11 +41,6 @@
 
 __all__ = ["CallerPath"]
 
-#: Largest body in bytes that is held whole; a larger one is passed on as it arrives.
-_HELD_BODY_BYTES = 1 << 20
-#: Bytes of bodies that are held at a time; beyond, only small bodies are held.
-_ALL_HELD_BYTES = 32 << 20
-_SMALL_BODY_BYTES = 16 << 10
 #: Time in seconds after a caller's deadline for which its answer is still delivered.
 _DELIVERY_SLACK_S = 5.0
 #: Time in seconds kept back for the way of the answer to the caller.
@@ -60,14 +58,6 @@
 _CONNECTION_SHARE = 4
 
 
-class _UnreadableBodyError(Exception):
-    """The caller's body can't be used; the status says why."""
-
-    def __init__(self, status: int):
-        super().__init__(status)
-        self.status = status
-
-
 @define(eq=False)
 class _Call:
     """A caller's request on its way.
@@ -82,8 +72,6 @@
         Whether an attempt is at a server.
     left : bool
         Whether the caller has left.
-    held_bytes : int
-        Bytes of the body that are held.
     """
 
     raw: BaseRequest
@@ -93,24 +81,18 @@
     arrived_at: MonotonicSeconds
     deadline: MonotonicSeconds
     target_at: MonotonicSeconds
-    body: bytes | ByteStream = b""
-    framing: bytes = b""
+    body: CallerBody = field(factory=CallerBody)
     attempts: int = 0
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
     sending: bool = False
     left: bool = False
     reason: str = ""
-    held_bytes: int = 0
 
     @property
     def idempotent(self) -> bool:
         return self.route.operation is Operation.IDEMPOTENT
 
-    @property
-    def repeatable(self) -> bool:
-        return isinstance(self.body, bytes)
-
 
 class CallerPath:
     """Answers callers' requests.
@@ -146,8 +128,7 @@
         self._first_attempts = FirstAttempts()
         self._answer_sizes = AnswerSizes()
         self._tasks: set[asyncio.Task[Answer]] = set()
-        #: Bytes of all bodies that are held.
-        self._held_bytes = 0
+        self._bodies = CallerBodies()
 
     async def handle(self, raw: BaseRequest) -> RawResponse:
         """Answer a request."""
@@ -222,17 +203,17 @@
         try:
             return await self._route(call)
         finally:
-            self._held_bytes -= call.held_bytes
-            call.held_bytes = 0
+            self._bodies.release(call.body)
 
     async def _route(self, call: _Call) -> Answer:
         try:
             async with asyncio.timeout(max(0.0, call.deadline - self._clock())):
-                await self._load_body(call)
+                largest = self._view.configuration.limits.body_bytes
+                call.body = await self._bodies.load(call.raw, largest)
         except TimeoutError:
             call.reason = "the body did not arrive in time"
             return _refuse(0.1, close=True)
-        except _UnreadableBodyError as error:
+        except UnreadableBodyError as error:
             call.reason = "the body is unreadable or too large"
             return Answer(error.status, [(b"Connection", b"close")])
         failed: ServerAnswer | None = None
@@ -258,7 +239,7 @@
                     return Answer(_LOST)
             else:
                 call.reason = "the server did not run the request"
-            if not call.repeatable:
+            if not call.body.repeatable:
                 break
         if failed is not None:
             return _pass_on(failed)
@@ -283,7 +264,7 @@
             call.tried,
             tuple(call.route.home_regions),
             self._data_centre,
-            _measure(call.body) + self._answer_sizes.estimate(call.route),
+            call.body.size + self._answer_sizes.estimate(call.route),
         )
 
     async def _send(
@@ -323,15 +304,15 @@
             raw.raw_headers,
             decision.server,
             time_left_s,
-            call.framing,
+            call.body.framing,
         )
         request = ServerRequest(
             raw.method,
             head,
-            call.body,
+            call.body.content,
             call.marks.request_id,
             call.idempotent,
-            chunked=not call.repeatable and call.body.length is None,
+            chunked=not call.body.repeatable and call.body.content.length is None,
         )
         spec = self._view.get_service(call.service)
         connections = spec.max_connections // _CONNECTION_SHARE if spec else 0
@@ -339,55 +320,6 @@
             decision.address, request, max(0.0, time_left_s), max(2, connections)
         )
 
-    async def _load_body(self, call: _Call) -> None:
-        raw = call.raw
-        if not raw.body_exists:
-            if raw.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-                call.framing = b"Content-Length: 0\r\n"
-            return
-        if raw.headers.get("Expect", "").lower() == "100-continue":
-            raw.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        length = raw.content_length
-        largest = self._view.configuration.limits.body_bytes
-        if length is not None and length > largest:
-            raise _UnreadableBodyError(413)
-        most = self._bound_held_body()
-        if length is not None and length > most:
-            call.body = RequestBody(raw.content, length, None, raw.transport)
-            call.framing = b"Content-Length: %d\r\n" % length
-            return
-        held, ended = await self._hold_body(call, most)
-        if ended:
-            call.body = held
-            call.framing = b"Content-Length: %d\r\n" % len(held)
-            return
-        call.body = RequestBody(
-            raw.content, None, None, raw.transport, read=held, most=largest
-        )
-        call.framing = b"Transfer-Encoding: chunked\r\n"
-
-    def _bound_held_body(self) -> int:
-        """Return the size in bytes up to which a body is held whole now."""
-        full = self._held_bytes + _HELD_BODY_BYTES > _ALL_HELD_BYTES
-        return _SMALL_BODY_BYTES if full else _HELD_BODY_BYTES
-
-    async def _hold_body(self, call: _Call, most: int) -> tuple[bytes, bool]:
-        """Read a body up to a number of bytes; returns whether it ended."""
-        parts = []
-        size = 0
-        try:
-            while size <= most:
-                chunk = await call.raw.content.readany()
-                if not chunk:
-                    return b"".join(parts), True
-                parts.append(chunk)
-                size += len(chunk)
-                self._held_bytes += len(chunk)
-                call.held_bytes += len(chunk)
-        except (RequestPayloadError, ConnectionError) as error:
-            raise _UnreadableBodyError(400) from error
-        return b"".join(parts), False
-
     def _note(self, call: _Call, answer: Answer) -> None:
         elapsed_s = self._clock() - call.arrived_at
         self._metrics.observe_request(call.service, answer.status, elapsed_s)
