Let a stopping leader lead on while nobody can follow it

Change: a leader that stops removes its record first, and ceases to lead when that worked; in an outage it goes on until the end of its stop.

Result: the new test fails without the change, since the leader ceases at once; tests of the fleet that play leaders, stops and outages pass.

--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -170,6 +170,7 @@
         self._task: asyncio.Task[None] | None = None
         self._retiring = False
         self.leading = False
+        self._ended = asyncio.Event()
         #: Local time at which the last successful renewal was sent.
         self.confirmed_at: MonotonicSeconds = float("-inf")
 
@@ -196,10 +197,24 @@
             await self._resign("stopping")
 
     async def retire(self) -> None:
-        """Give the leadership up, and take it no more."""
+        """Take the leadership no more, and give it up once another can take it.
+
+        While the platform's service is away no instance could follow, and without a
+        leader the keys' grants would run out. The leader goes on until the service
+        takes its record back, or until ``close``.
+        """
         self._retiring = True
-        if self.leading:
-            await self._resign("stopping")
+        await self._hand_over()
+
+    async def wait_ended(self, timeout_s: float) -> None:
+        """Wait until this instance does not lead, at most for some seconds."""
+        if not self.leading:
+            return
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                await self._ended.wait()
+        except TimeoutError:
+            logger.warning("stopping as the leader; no other instance could follow")
 
     async def step_down(self, reason: str) -> None:
         """Cease to lead."""
@@ -208,6 +223,9 @@
 
     async def _look(self) -> float | None:
         try:
+            if self.leading and self._retiring:
+                await self._hand_over()
+                return None
             if self.leading:
                 await self._renew()
                 return _RENEWAL_S
@@ -259,6 +277,7 @@
             return
         self._link.follow(None)
         self.leading = True
+        self._ended.clear()
         logger.bind(revision=self._revision, former=former and former.instance).info(
             "leading the site"
         )
@@ -317,8 +336,22 @@
         if not await self._write_record():
             await self._resign("another instance wrote the record")
 
+    async def _hand_over(self) -> None:
+        """Remove the own record, and cease to lead if that worked."""
+        if not self.leading:
+            return
+        try:
+            await self._store.remove(_LEADER_KEY, self._revision, "resign")
+        except PlatformUnavailableError as error:
+            logger.bind(reason=str(error)).debug("leader record not removed yet")
+            return
+        if self.leading:
+            self._state.leader = None
+            await self._resign("stopping")
+
     async def _resign(self, reason: str) -> None:
         self.leading = False
+        self._ended.set()
         logger.bind(reason=reason).warning("no longer leading the site")
         await self._end()
         leader = self._state.leader
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -187,13 +187,13 @@
         await self._leadership.retire()
         await asyncio.sleep(max(0.0, leaves_at - read_clock()))
         refuses_at = ends_at - stop_s * _LAST_SENDS_SHARE
-        if await self._callers.drain(refuses_at - read_clock()):
-            return
-        self._port.refuse_waiting()
-        if not await self._callers.drain(ends_at - read_clock()):
-            logger.bind(requests=self._callers.running).warning(
-                "stopping with requests that servers still run"
-            )
+        if not await self._callers.drain(refuses_at - read_clock()):
+            self._port.refuse_waiting()
+            if not await self._callers.drain(ends_at - read_clock()):
+                logger.bind(requests=self._callers.running).warning(
+                    "stopping with requests that servers still run"
+                )
+        await self._leadership.wait_ended(ends_at - read_clock())
 
     def _bound_retries(self, ratio: float, slack: float) -> RetryBounds:
         bounds = self._deployment.bounds
--- a/tests/runtime/fleet/test_fleet.py
+++ b/tests/runtime/fleet/test_fleet.py
@@ -377,3 +377,30 @@
         server.trouble = "break"
     with pytest.raises(ClientError):
         await site.read(5)
+
+
+async def test_a_leader_that_stops_in_an_outage_leads_until_its_end(site):
+    """Nobody could follow it for 7 s, and the grants of all keys ran out."""
+    leader = site.find_leader()
+    index = site.members.index(leader)
+    other = 1 - index
+    site.store.down = True
+    await asyncio.sleep(0.3)
+    stop = asyncio.create_task(leader.close())
+    await asyncio.sleep(1.0)
+    assert leader._leadership.leading
+    assert (await site.read(5, other)).status == 200
+    site.store.down = False
+    await wait_until(lambda: not leader._leadership.leading)
+    await stop
+    site.members.remove(leader)
+    await wait_until(lambda: site.members[0]._leadership.leading)
+    assert (await site.read(5, other)).status == 200
+
+
+async def test_a_leader_that_stops_gives_the_leadership_up_at_once(site):
+    leader = site.find_leader()
+    stop = asyncio.create_task(leader.close())
+    await wait_until(lambda: not leader._leadership.leading, 0.5)
+    await stop
+    site.members.remove(leader)
