Log each range that goes to its next owner, with the reason

The logs named the moves that were begun and the orders without effect, but not which leader gave a key away and what it relied on, so the hypotheses on the incident of two owners could not be told apart. Each hand-over is now one line with its former and next owner, the reason and the fence from which the next grants take theirs; a takeover tells how many stored moves were unfinished. The control's protocol of servers and its pending orders get modules of their own. No decision changes: tests of core/ranges and of the new lines pass.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -19,19 +19,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from basilwick.core.dispatch.owners import KeyOwner
 from basilwick.core.ranges.orders import (
     FenceBlock,
     GrantOrder,
+    HandOver,
+    HandOverReason,
     Order,
     OrderResult,
     OwnerTimes,
     ReleaseOrder,
 )
+from basilwick.core.ranges.pending import PendingOrder
 from basilwick.core.ranges.placement import plan_even_shares
 from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
 
@@ -39,9 +42,10 @@
     from collections.abc import Sequence
 
     from basilwick.core.ranges.placement import Move
+    from basilwick.core.ranges.servers import Servers
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
-__all__ = ["RangeControl", "Servers"]
+__all__ = ["RangeControl"]
 
 #: Time in seconds after a completed move within which its end is stored, together with
 #: other changes.
@@ -55,34 +59,6 @@
 _NEVER = float("-inf")
 
 
-@frozen
-class _Pending:
-    """Order without an answer yet.
-
-    Attributes
-    ----------
-    sent_at : float
-        Local time of the send.
-    held_before : float
-        Latest end of the grants sent before.
-    """
-
-    item: KeyRange
-    order: Order
-    sent_at: MonotonicSeconds
-    held_before: MonotonicSeconds
-
-
-class Servers(Protocol):
-    """What the control has to know of servers."""
-
-    def may_own(self, server: ServerName) -> bool:
-        """Return whether a server may keep its ranges."""
-
-    def choose_owner(self, avoid: ServerName | None) -> ServerName | None:
-        """Return the server that should take over a range."""
-
-
 @define(eq=False)
 class RangeControl:
     """Ownership of the ranges of one service, as its leader decides it.
@@ -105,8 +81,9 @@
     taken_over_at: MonotonicSeconds
     unstored: bool = False
     deposed: bool = False
+    _hand_overs: list[HandOver] = field(factory=list)
     _numbers: int = 0
-    _pending: dict[int, _Pending] = field(factory=dict)
+    _pending: dict[int, PendingOrder] = field(factory=dict)
     _storing: list[KeyRange] | None = None
     _store_end_at: MonotonicSeconds = float("inf")
 
@@ -193,7 +170,7 @@
             order = self._decide(item, now)
             if order is not None:
                 item.pending = order.number
-                pending = _Pending(item, order, now, held_before)
+                pending = PendingOrder(item, order, now, held_before)
                 self._pending[order.number] = pending
                 orders.append(order)
         return orders
@@ -206,6 +183,11 @@
         self._storing = [r for r in self.table.ranges if r.phase is Phase.STORING]
         return self.table.list_stored()
 
+    def take_hand_overs(self) -> list[HandOver]:
+        """Return the ranges that changed hands since the last call."""
+        taken, self._hand_overs = self._hand_overs, []
+        return taken
+
     # Answers
 
     def note_stored(self, stored: bool, now: MonotonicSeconds) -> None:
@@ -217,8 +199,10 @@
         for item in waiting:
             if item.phase is not Phase.STORING:
                 continue
-            if item.owner is None or now >= item.held_until:
-                self._hand_to_target(item, now)
+            if item.owner is None:
+                self._hand_to_target(item, HandOverReason.FREE, now)
+            elif now >= item.held_until:
+                self._hand_to_target(item, HandOverReason.HOLD_ENDED, now)
             elif item.failures >= _FAILURES_TO_GIVE_UP:
                 item.enter(Phase.EXPIRING, now)
             else:
@@ -258,7 +242,7 @@
             self._note_lost(item, now)
             return
         item.hand_over = hand_over
-        self._hand_to_target(item, now)
+        self._hand_to_target(item, HandOverReason.RELEASED, now)
 
     def note_restarted(self, server: ServerName, now: MonotonicSeconds) -> None:
         """Note that a server's process is another one, which holds nothing."""
@@ -270,7 +254,7 @@
             item.fence = 0
             if item.phase in (Phase.RAISING, Phase.RELEASING, Phase.EXPIRING):
                 if item.target is not None:
-                    self._hand_to_target(item, now)
+                    self._hand_to_target(item, HandOverReason.RESTARTED, now)
             else:
                 item.next_order_at = now
 
@@ -326,7 +310,7 @@
 
     def _order_release(self, item: KeyRange, now: MonotonicSeconds) -> Order | None:
         if now >= item.held_until:
-            self._hand_to_target(item, now)
+            self._hand_to_target(item, HandOverReason.HOLD_ENDED, now)
             return None
         return ReleaseOrder(
             self._next_number(), item.owner, item.first, item.last, item.fence
@@ -344,9 +328,21 @@
                 item.next_order_at = float("inf")
                 self.unstored = True
         elif now >= item.held_until:
-            self._hand_to_target(item, now)
+            self._hand_to_target(item, HandOverReason.HOLD_ENDED, now)
 
-    def _hand_to_target(self, item: KeyRange, now: MonotonicSeconds) -> None:
+    def _hand_to_target(
+        self, item: KeyRange, reason: HandOverReason, now: MonotonicSeconds
+    ) -> None:
+        self._hand_overs.append(
+            HandOver(
+                item.first,
+                item.last,
+                item.owner,
+                item.target,
+                reason,
+                self.fences.following,
+            )
+        )
         item.owner, item.target = item.target, None
         self._store_end_at = min(self._store_end_at, now + _STORE_END_AFTER_S)
         item.fence = 0
@@ -355,7 +351,7 @@
         item.enter(Phase.OWNED, now)
 
     def _note_accepted(
-        self, pending: _Pending, hold_s: float, now: MonotonicSeconds
+        self, pending: PendingOrder, hold_s: float, now: MonotonicSeconds
     ) -> None:
         item = pending.item
         item.failures = 0
@@ -390,7 +386,7 @@
             # No more renewals, so that the grant runs out while the move is stored.
             item.next_order_at = float("inf")
 
-    def _take_pending(self, order: Order) -> _Pending | None:
+    def _take_pending(self, order: Order) -> PendingOrder | None:
         """Return what an answer belongs to, None if the range has moved on."""
         pending = self._pending.pop(order.number, None)
         if pending is None or pending.item.pending != order.number:
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -13,6 +13,8 @@
 __all__ = [
     "FenceBlock",
     "GrantOrder",
+    "HandOver",
+    "HandOverReason",
     "Order",
     "OrderResult",
     "OwnerTimes",
@@ -122,3 +124,36 @@
 
 
 Order: TypeAlias = GrantOrder | ReleaseOrder
+
+
+class HandOverReason(StrEnum):
+    """Why a range could go to its next owner."""
+
+    #: Nobody owned it.
+    FREE = "nobody owned them"
+    #: The former owner answered the release.
+    RELEASED = "released"
+    #: All grants that the former owner may have had are over.
+    HOLD_ENDED = "hold ended"
+    #: The former owner's process is another one.
+    RESTARTED = "former owner restarted"
+
+
+@frozen
+class HandOver:
+    """A range that went from one owner to the next.
+
+    Attributes
+    ----------
+    former : str or None
+        Server that owned it before.
+    fence : int
+        Fence from which the next owner's grants take theirs.
+    """
+
+    first: int
+    last: int
+    former: ServerName | None
+    owner: ServerName
+    reason: HandOverReason
+    fence: int
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -150,6 +150,7 @@
         logger.bind(
             service=self.service,
             ranges=len(table.ranges),
+            unfinished_moves=sum(bool(entry.former) for entry in stored),
             fence=fences.following,
             revision=self._revision,
         ).info("took over the ranges of a service")
@@ -288,6 +289,19 @@
         leased = self._authority.may_move()
         for order in self.control.tick(self._clock(), leased):
             self._spawn(self._send(order))
+        self._log_hand_overs()
+
+    def _log_hand_overs(self) -> None:
+        for entry in self.control.take_hand_overs():
+            logger.bind(
+                service=self.service,
+                first=entry.first,
+                last=entry.last,
+                former=entry.former,
+                owner=entry.owner,
+                reason=entry.reason.value,
+                fence=entry.fence,
+            ).info("keys handed over")
 
     async def _call(
         self, address: str, data: bytes, timeout_s: float, exclusive: bool
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 from ownership_model import BLOCK_KEYS, BLOCKS, build_model
 
-from basilwick.core.ranges.orders import GrantOrder, OrderResult, ReleaseOrder
+from basilwick.core.ranges.orders import (
+    GrantOrder,
+    HandOverReason,
+    OrderResult,
+    ReleaseOrder,
+)
 from basilwick.core.ranges.table import Phase
 
 
@@ -46,6 +51,19 @@
     assert model.find_owner(0) == "s2"
 
 
+def test_hand_overs_are_told_with_their_reason(model):
+    control = model.holder.control
+    control.take_hand_overs()
+    former = model.find_owner(0)
+    model.move(model.holder, 0, "s2")
+    model.run(0.5)
+    (entry,) = control.take_hand_overs()
+    assert (entry.first, entry.last) == (0, BLOCK_KEYS - 1)
+    assert (entry.former, entry.owner) == (former, "s2")
+    assert entry.reason is HandOverReason.RELEASED
+    assert not control.take_hand_overs()
+
+
 def test_a_late_renewal_cannot_bring_back_a_released_block(model):
     """A renewal that is carried out after the release must be refused."""
     model.advance(model.times.renewal_s)
