Add a failing test: a completed move whose end is not stored

It fails with the new owner registered and not registered.

The model could not show it: all leaders reached the same servers, no order counted as never sent, no server started anew, and fences were compared at one server only. A leader may now be cut off from single servers, servers can start anew, and the model fails if a server takes a block with a fence below that of another one.

--- a/tests/core/ranges/ownership_model.py
+++ b/tests/core/ranges/ownership_model.py
@@ -1,7 +1,9 @@
 """Model of servers, store and leaders for tests of the ownership protocol.
 
 Keys are grouped into blocks, which move as wholes. Servers keep fences and holds as the
-platform's servers do. Orders can be lost, answered or not, and carried out late.
+platform's servers do, and forget both when they start anew. Orders can be lost,
+answered or not, and carried out late. One leader may reach servers that another one
+doesn't reach.
 """
 
 from __future__ import annotations
@@ -32,6 +34,16 @@
     held_until: list[float] = field(factory=lambda: [0.0] * BLOCKS)
     reachable: bool = True
     in_use: bool = True
+    #: Number of starts; orders that arrived before the last one are gone.
+    starts: int = 1
+    started_at: float = 0.0
+
+    def restart(self, now):
+        """Start anew, without fences and holds."""
+        self.seen = [0] * BLOCKS
+        self.held_until = [0.0] * BLOCKS
+        self.starts += 1
+        self.started_at = now
 
     def apply(self, order, arrived_at):
         blocks = list_blocks(order)
@@ -68,6 +80,18 @@
     storing: list | None = None
     contact: bool = True
     alive: bool = True
+    #: Servers to which this leader can't open a connection.
+    unreached: set[str] = field(factory=set)
+    #: Starts of each server that this leader knows.
+    starts: dict[str, int] = field(factory=dict)
+
+    def note_restarts(self, servers, now):
+        """Take what the store tells of servers that started anew."""
+        for server in servers:
+            known = self.starts.setdefault(server.name, server.starts)
+            if known != server.starts:
+                self.starts[server.name] = server.starts
+                self.control.note_restarted(server.name, now)
 
 
 @define(eq=False)
@@ -85,6 +109,8 @@
     holder: ModelLeader | None = None
     flights: list[Flight] = field(factory=list)
     late: list[Flight] = field(factory=list)
+    #: Highest fence with which each server had each block.
+    had: dict[tuple[str, int], int] = field(factory=dict)
 
     # What the control asks of servers
 
@@ -120,6 +146,7 @@
             self.revision,
             self.now,
         )
+        leader.note_restarts(self.servers.values(), self.now)
         self.leaders.append(leader)
         self.holder = leader
         self.lease_until = self.now + self.times.lease_s
@@ -137,6 +164,8 @@
             return
         leased = age < self.times.lease_s - LEASE_MARGIN_S
         control = leader.control
+        if leader.contact:
+            leader.note_restarts(self.servers.values(), self.now)
         control.assign_free([s for s in self.servers if self.may_own(s)], self.now)
         for order in control.tick(self.now, leased):
             self.flights.append(Flight(leader, order, self.now))
@@ -175,9 +204,12 @@
         """Bring an order to its server, and perhaps the answer back."""
         self.flights.remove(flight)
         server = self.servers[flight.order.server]
+        if server.name in flight.leader.unreached:
+            self.answer(flight, OrderResult.UNSENT)
+            return
         result = OrderResult.LOST
         if server.reachable:
-            result = server.apply(flight.order, self.now)
+            result = self.apply(flight.order, self.now)
         if not answered:
             result = OrderResult.LOST
         self.answer(flight, result)
@@ -192,7 +224,33 @@
         self.late.remove(flight)
         # Its time counts from its arrival, at the latest when it was given up.
         arrived_at = flight.sent_at + self.times.order_timeout_s
-        self.servers[flight.order.server].apply(flight.order, arrived_at)
+        if arrived_at >= self.servers[flight.order.server].started_at:
+            self.apply(flight.order, arrived_at)
+
+    def apply(self, order, arrived_at):
+        """Carry an order out; the fences of a block must rise from server to server."""
+        server = self.servers[order.server]
+        result = server.apply(order, arrived_at)
+        if result is not OrderResult.OK or not isinstance(order, GrantOrder):
+            return result
+        for block in list_blocks(order):
+            if server.held_until[block] <= self.now:
+                continue
+            others = [
+                fence
+                for (name, b), fence in self.had.items()
+                if b == block and name != server.name
+            ]
+            assert order.fence > max(others, default=0), (
+                f"block {block} at {self.now}: {server.name} took it with fence "
+                f"{order.fence}, others had it with {others}"
+            )
+            self.had[server.name, block] = order.fence
+        return result
+
+    def restart(self, server):
+        """Let a server start anew; the leaders learn of it from the store."""
+        server.restart(self.now)
 
     def answer(self, flight, result):
         if not flight.leader.alive:
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -89,6 +89,52 @@
     assert model.find_owner(0) == "s2"
 
 
+def complete_move(model, block, server):
+    """Move a block whose new owner accepts it, before the end of the move is stored."""
+    leader = model.holder
+    model.move(leader, block, server)
+    for _ in range(4):
+        model.tick(leader)
+        model.store(leader)
+        for flight in list(model.flights):
+            model.deliver(flight)
+        model.advance(0.01)
+    assert model.find_owner(block) == server
+    assert any(entry.former for entry in model.stored)
+
+
+def follow_partition(model, former, seconds):
+    """Let a second leader act beside one without the store, until a time has passed."""
+    for _ in range(round(seconds / 0.05)):
+        model.take_over()
+        for leader in model.leaders:
+            model.renew(leader)
+            model.tick(leader)
+        for flight in list(model.flights):
+            model.deliver(flight)
+        for leader in model.leaders:
+            model.store(leader)
+        model.check()
+        model.advance(0.05)
+    assert model.holder is not former
+
+
+@pytest.mark.parametrize("registered", [True, False])
+def test_a_completed_move_whose_end_is_not_stored_leaves_its_owner_the_keys(
+    model, registered
+):
+    """The earlier leader goes on renewing them; the next one gave them to another."""
+    former = model.holder
+    complete_move(model, 0, "s2")
+    former.contact = False
+    model.servers["s2"].in_use = registered
+    model.advance(model.times.lease_s)
+    model.take_over()
+    model.holder.unreached.add("s2")
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert model.find_owner(0) not in (None, "s2")
+
+
 def test_a_stored_move_waits_for_the_holds_of_the_former_leader(model):
     """The next leader can't know which of two servers holds the block."""
     model.move(model.holder, 0, "s2")
