Wait for the holds of the new owner of a stored move too

Cause: a leader completes a move, the new owner accepts, and the leader is cut off from the store before it has stored the end of the move (up to 0.3 s later). To it the range is settled, so it goes on renewing the new owner for 9 s. The next leader reads the move as unfinished, waits for the lease and one hold (5.76 s), and then set the end of the new owner's hold to never, as if nobody had granted it anything. When that owner was not registered or not reached, the range went to a third server at once or one hold later.

A range now keeps the latest end of anybody's grant for its next owner as well; a takeover sets it to the earlier leader's autonomy and one hold, and only an answer to this leader's fence brings it down.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -14,7 +14,8 @@
 - A leader whose lease may have ended sends only renewals of settled ranges, and these
   for a bounded time. A later leader waits for the end of the lease before it goes on
   with a stored move, and for that bounded time before it gives away the keys of a
-  server that it never reached.
+  server that it never reached. That includes the new owner of a stored move, because
+  the earlier leader may have completed the move without storing its end.
 """
 
 from __future__ import annotations
@@ -90,14 +91,15 @@
     def __attrs_post_init__(self) -> None:
         for item in self.table.ranges:
             if item.former is not None:
-                # Either server may hold the range until the grants that the earlier
-                # leader sent during the move have run out.
+                # Either server may hold the range. Without its lease the earlier leader
+                # renews only the next owner, if the move got that far.
                 item.target, item.owner = item.owner, item.former
                 item.former = None
                 item.enter(Phase.EXPIRING, self.taken_over_at)
                 item.held_until = (
                     self.taken_over_at + self.times.lease_s + self.times.longest_hold_s
                 )
+                item.target_held_until = self._get_unreached_hold_end()
                 continue
             if item.owner is not None:
                 item.enter(Phase.OWNED, self.taken_over_at)
@@ -347,7 +349,8 @@
         self._store_end_at = min(self._store_end_at, now + _STORE_END_AFTER_S)
         item.fence = 0
         item.confirmed = False
-        item.serving_until = item.held_until = _NEVER
+        item.serving_until = _NEVER
+        item.held_until, item.target_held_until = item.target_held_until, _NEVER
         item.enter(Phase.OWNED, now)
 
     def _note_accepted(
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -68,7 +68,9 @@
     serving_until : float
         Local time until which the owner surely holds the range.
     held_until : float
-        Local time after which no grant of this range that was sent can be in force.
+        Local time after which no leader's grant to the owner can be in force.
+    target_held_until : float
+        The same for the next owner, which an earlier leader may have granted the range.
     confirmed : bool
         Whether the owner accepted a grant of this leader, so that it refuses the
         grants of earlier leaders.
@@ -92,6 +94,7 @@
     hand_over: str | None = None
     serving_until: MonotonicSeconds = float("-inf")
     held_until: MonotonicSeconds = float("-inf")
+    target_held_until: MonotonicSeconds = float("-inf")
     next_order_at: MonotonicSeconds = float("-inf")
     phase_since: MonotonicSeconds = float("-inf")
     confirmed: bool = False
