Ask a restarted server anew instead of taking its keys for free

Callers could see two servers answer for one key when a server started anew under its name while keys were on their way from it, or while an earlier leader lived on.

Cause: a restart set the end of all holds of the server to the moment at which the leader heard of it, and gave the keys of a move to the next owner at once. That is true of the process that ended. The new one knows no fences: it may have accepted a grant of this leader before the restart was known, and it accepts renewals of an earlier leader that is cut off from the store.

Now a restart never shortens a hold. The new process is granted the range with a new fence, which shuts out earlier grants, and released; a server that doesn't answer is waited for as one that was never reached. Two of three new tests failed before (two holders; the second one at once after the restart was known), the third one bounds the wait when the new process answers. All of tests/core/ranges and tests/runtime/fleet pass.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -247,18 +247,14 @@
         self._hand_to_target(item, HandOverReason.RELEASED, now)
 
     def note_restarted(self, server: ServerName, now: MonotonicSeconds) -> None:
-        """Note that a server's process is another one, which holds nothing."""
+        """Note that a server's process is another one.
+
+        The new process knows no fences, so it may have accepted grants since its start,
+        those of an earlier leader included.
+        """
         for item in self.table.ranges:
-            if item.owner != server:
-                continue
-            item.held_until = now
-            item.serving_until = _NEVER
-            item.fence = 0
-            if item.phase in (Phase.RAISING, Phase.RELEASING, Phase.EXPIRING):
-                if item.target is not None:
-                    self._hand_to_target(item, HandOverReason.RESTARTED, now)
-            else:
-                item.next_order_at = now
+            if item.owner == server:
+                self._ask_restarted_owner(item, now)
 
     # Parts of a decision
 
@@ -277,6 +273,20 @@
             item.fence = self.fences.take()
         return self._order_grant(item, self.times.hold_s, now)
 
+    def _ask_restarted_owner(self, item: KeyRange, now: MonotonicSeconds) -> None:
+        """Begin anew with the owner; only its answer ends what it may hold."""
+        item.held_until = max(item.held_until, self._get_unreached_hold_end())
+        item.serving_until = _NEVER
+        item.confirmed = False
+        item.fence = 0
+        if item.phase is Phase.STORING:
+            item.pending = item.failures = 0
+            item.next_order_at = now
+        elif item.target is None:
+            item.enter(Phase.OWNED, now)
+        elif now >= item.target_held_until:
+            item.enter(Phase.RAISING, now)
+
     def _replace_leaving_owner(self, item: KeyRange, now: MonotonicSeconds) -> None:
         if self.servers.may_own(item.owner):
             return
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -135,8 +135,6 @@
     RELEASED = "released"
     #: All grants that the former owner may have had are over.
     HOLD_ENDED = "hold ended"
-    #: The former owner's process is another one.
-    RESTARTED = "former owner restarted"
 
 
 @frozen
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -203,6 +203,51 @@
     assert model.find_owner(0) == owner
 
 
+def test_a_restarted_server_may_hold_what_it_accepted_before_the_restart_is_known(
+    model,
+):
+    """The next owner was granted the keys that the new process had just accepted."""
+    former = model.servers[model.find_owner(0)]
+    model.move(model.holder, 0, "s2")
+    model.tick(model.holder)
+    model.store(model.holder)
+    model.tick(model.holder)
+    (raised,) = [f for f in model.flights if f.order.first == 0]
+    model.restart(former)
+    model.deliver(raised)
+    assert former.held_until[0] > model.now
+    model.run(0.5)
+    assert model.find_owner(0) == "s2"
+
+
+def test_a_restarted_server_that_an_earlier_leader_renews_keeps_its_keys(model):
+    """The new process knows no fences, and accepts the earlier leader's renewals."""
+    former = model.holder
+    name = model.find_owner(0)
+    former.contact = False
+    model.advance(model.times.lease_s)
+    model.take_over()
+    model.holder.unreached.add(name)
+    model.restart(model.servers[name])
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert model.find_owner(0) not in (None, name)
+
+
+def test_a_restarted_former_owner_of_a_move_is_asked_again(model):
+    """Its keys must not wait for a hold when the new process answers."""
+    name = model.find_owner(0)
+    model.move(model.holder, 0, "s2")
+    model.tick(model.holder)
+    model.store(model.holder)
+    model.tick(model.holder)
+    (raised,) = [f for f in model.flights if f.order.first == 0]
+    model.deliver(raised)
+    model.tick(model.holder)
+    model.restart(model.servers[name])
+    model.run(0.3)
+    assert model.find_owner(0) == "s2"
+
+
 def test_a_conflict_is_answered_with_a_higher_fence(model):
     owner = model.find_owner(0)
     seen = model.servers[owner].seen
