Wait for a former owner that the leader of a stored move had not reached

Two servers could hold a key when two leaders ended one after the other: the first is cut off from the store and renews a server, the second doesn't reach that server, stores that its keys go to another one and ends, and the third waited for the second leader's lease and one hold only (5.76 s), while the first renews for up to 9 s after its lease.

Cause: a stored move did not tell whether its leader had been answered by the former owner, and a takeover took that for granted. The stored value now names the moves whose former owner had accepted a grant; earlier versions still read the rows, and rows of earlier versions count as not reached. What a takeover assumes is a module of its own.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -15,7 +15,8 @@
   for a bounded time. A later leader waits for the end of the lease before it goes on
   with a stored move, and for that bounded time before it gives away the keys of a
   server that it never reached. That includes the new owner of a stored move, because
-  the earlier leader may have completed the move without storing its end.
+  the earlier leader may have completed the move without storing its end, and a former
+  owner that the leader which stored the move had not reached.
 """
 
 from __future__ import annotations
@@ -38,6 +39,7 @@
 from basilwick.core.ranges.pending import PendingOrder
 from basilwick.core.ranges.placement import plan_even_shares
 from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
+from basilwick.core.ranges.takeover import begin_takeover
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -89,21 +91,7 @@
     _store_end_at: MonotonicSeconds = float("inf")
 
     def __attrs_post_init__(self) -> None:
-        for item in self.table.ranges:
-            if item.former is not None:
-                # Either server may hold the range. Without its lease the earlier leader
-                # renews only the next owner, if the move got that far.
-                item.target, item.owner = item.owner, item.former
-                item.former = None
-                item.enter(Phase.EXPIRING, self.taken_over_at)
-                item.held_until = (
-                    self.taken_over_at + self.times.lease_s + self.times.longest_hold_s
-                )
-                item.target_held_until = self._get_unreached_hold_end()
-                continue
-            if item.owner is not None:
-                item.enter(Phase.OWNED, self.taken_over_at)
-            item.held_until = self._get_unreached_hold_end()
+        begin_takeover(self.table, self.times, self.taken_over_at)
 
     # Decisions
 
@@ -275,7 +263,10 @@
 
     def _ask_restarted_owner(self, item: KeyRange, now: MonotonicSeconds) -> None:
         """Begin anew with the owner; only its answer ends what it may hold."""
-        item.held_until = max(item.held_until, self._get_unreached_hold_end())
+        unreached_until = self.taken_over_at + self.times.unreached_hold_s
+        item.held_until = max(item.held_until, unreached_until)
+        # The stored move may tell that the former owner was reached.
+        self.unstored |= item.target is not None
         item.serving_until = _NEVER
         item.confirmed = False
         item.fence = 0
@@ -407,9 +398,6 @@
         pending.item.pending = 0
         return pending
 
-    def _get_unreached_hold_end(self) -> MonotonicSeconds:
-        return self.taken_over_at + self.times.autonomy_s + self.times.longest_hold_s
-
     def _next_number(self) -> int:
         self._numbers += 1
         return self._numbers
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -75,6 +75,16 @@
         """Longest time from the send of a grant to its end."""
         return self.order_timeout_s + self.answered_hold_s
 
+    @property
+    def unreached_hold_s(self) -> float:
+        """Longest time from a takeover to the end of grants of earlier leaders."""
+        return self.autonomy_s + self.longest_hold_s
+
+    @property
+    def unfinished_hold_s(self) -> float:
+        """The same for grants that an earlier leader sends only with its lease."""
+        return self.lease_s + self.longest_hold_s
+
 
 @define
 class FenceBlock:
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -49,12 +49,16 @@
         Server that may hold the range; empty for none.
     former : str
         Server that may still hold it; empty for none.
+    former_reached : bool
+        Whether the former owner had accepted a grant of the leader that stored the
+        move, so that it refuses the grants of earlier leaders.
     """
 
     first: int
     last: int
     owner: str = ""
     former: str = ""
+    former_reached: bool = False
 
 
 @define(eq=False)
@@ -63,6 +67,8 @@
 
     Attributes
     ----------
+    former, former_reached
+        As stored; a takeover makes them the owner of an unfinished move.
     fence : int
         Fence of the newest grant to the owner.
     serving_until : float
@@ -88,6 +94,7 @@
     last: int
     owner: ServerName | None = None
     former: ServerName | None = None
+    former_reached: bool = False
     fence: int = 0
     phase: Phase = Phase.FREE
     target: ServerName | None = None
@@ -127,15 +134,26 @@
         self.failures = 0
         self.pending = 0
 
+    def to_stored(self) -> StoredRange:
+        """Return the form that is stored."""
+        if self.target is None:
+            return StoredRange(self.first, self.last, self.owner or "")
+        return StoredRange(
+            self.first,
+            self.last,
+            self.target,
+            self.owner or "",
+            self.owner is not None and self.confirmed,
+        )
+
     def split_at(self, key: int) -> KeyRange:
         """Cut the range before a key; returns the upper part."""
         upper = KeyRange(
             key,
             self.last,
             self.owner,
-            self.former,
-            self.fence,
-            self.phase,
+            fence=self.fence,
+            phase=self.phase,
             serving_until=self.serving_until,
             held_until=self.held_until,
             next_order_at=self.next_order_at,
@@ -168,7 +186,11 @@
                 ranges.append(KeyRange(following, entry.first - 1))
             ranges.append(
                 KeyRange(
-                    entry.first, entry.last, entry.owner or None, entry.former or None
+                    entry.first,
+                    entry.last,
+                    entry.owner or None,
+                    entry.former or None,
+                    entry.former_reached,
                 )
             )
             following = entry.last + 1
@@ -183,13 +205,12 @@
         """
         stored: list[StoredRange] = []
         for item in self.ranges:
-            owner, former = item.owner, None
-            if item.target is not None:
-                owner, former = item.target, item.owner
-            entry = StoredRange(item.first, item.last, owner or "", former or "")
+            entry = item.to_stored()
             last = stored[-1] if stored else None
-            if last and (last.owner, last.former) == (entry.owner, entry.former):
-                entry = StoredRange(last.first, entry.last, entry.owner, entry.former)
+            if last is not None and entry == evolve(
+                last, first=entry.first, last=entry.last
+            ):
+                entry = evolve(last, last=entry.last)
                 stored.pop()
             stored.append(entry)
         return stored
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -33,6 +33,7 @@
     "LeaderAuthority",
     "RangeKeeper",
     "decode_ranges",
+    "encode_ranges",
     "get_ranges_key",
 ]
 
@@ -57,6 +58,19 @@
     return f"{OWN_PREFIX}ranges/{service}"
 
 
+def encode_ranges(reserved: int, stored: list[StoredRange]) -> bytes:
+    """Return the value that is stored.
+
+    Earlier versions read rows of four entries, so a further field stands beside them.
+    """
+    data = {
+        "reserved": reserved,
+        "ranges": [[r.first, r.last, r.owner, r.former] for r in stored],
+        "reached": [r.first for r in stored if r.former_reached],
+    }
+    return compress(dumps(data))
+
+
 def decode_ranges(value: bytes) -> tuple[int, list[StoredRange]]:
     """Return the bound of the reserved fences and the ranges.
 
@@ -68,8 +82,14 @@
     try:
         # Earlier versions stored the text as it is.
         data = loads(value if value.startswith(b"{") else decompress(value))
-        return int(data["reserved"]), [StoredRange(*row) for row in data["ranges"]]
-    except (ZlibError, JSONDecodeError, KeyError, TypeError) as error:
+        reserved = int(data["reserved"])
+        reached = set(data.get("reached", ()))
+        stored = [
+            StoredRange(*row, former_reached=row[0] in reached)
+            for row in data["ranges"]
+        ]
+        return reserved, stored
+    except (ZlibError, JSONDecodeError, LookupError, TypeError) as error:
         raise ValueError(f"stored ranges {value[:100]!r}: {error!r}") from error
 
 
@@ -231,8 +251,7 @@
             self.tick()
 
     async def _save(self, stored: list[StoredRange]) -> None:
-        rows = [[r.first, r.last, r.owner, r.former] for r in stored]
-        value = compress(dumps({"reserved": self._reserved, "ranges": rows}))
+        value = encode_ranges(self._reserved, stored)
         try:
             result, revision = await self._store.write(
                 self._key, value, self._revision, "store ranges"
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -135,6 +135,24 @@
     assert model.find_owner(0) not in (None, "s2")
 
 
+def test_a_former_owner_that_no_leader_reached_is_waited_for_by_the_third_one(model):
+    """The second leader's stored move hid that the first one still renews it."""
+    former = model.holder
+    name = model.find_owner(0)
+    former.contact = False
+    model.advance(model.times.lease_s)
+    model.take_over()
+    second = model.holder
+    second.unreached.add(name)
+    follow_partition(model, former, 1.5)
+    assert model.stored[0].former == name
+    second.alive = False
+    model.take_over()
+    model.holder.unreached.add(name)
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert model.find_owner(0) not in (None, name)
+
+
 def test_a_stored_move_waits_for_the_holds_of_the_former_leader(model):
     """The next leader can't know which of two servers holds the block."""
     model.move(model.holder, 0, "s2")
--- a/tests/runtime/fleet/test_range_keeper.py
+++ b/tests/runtime/fleet/test_range_keeper.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from zlib import compress
+from zlib import compress, decompress
 
 import pytest
-from orjson import dumps
+from orjson import dumps, loads
 
 from basilwick.core.ranges.table import StoredRange
-from basilwick.runtime.fleet.range_keeper import decode_ranges
+from basilwick.runtime.fleet.range_keeper import decode_ranges, encode_ranges
 
 STORED = dumps({"reserved": 300, "ranges": [[0, 9, "m0", ""], [10, 65535, "m1", "m0"]]})
 
@@ -25,3 +25,18 @@
 def test_unreadable_ranges_are_an_error(value):
     with pytest.raises(ValueError, match="stored ranges"):
         decode_ranges(value)
+
+
+def test_stored_ranges_are_read_as_they_were_written():
+    """Whether a former owner was reached decides how long its keys are waited for."""
+    stored = [
+        StoredRange(0, 9, "m0", "m1", former_reached=True),
+        StoredRange(10, 65535, "m1", "m0", former_reached=False),
+    ]
+    assert decode_ranges(encode_ranges(300, stored)) == (300, stored)
+
+
+def test_stored_ranges_stay_readable_for_earlier_versions():
+    """During an upgrade an instance of either version may lead."""
+    value = encode_ranges(300, [StoredRange(0, 9, "m0", "m1", former_reached=True)])
+    assert loads(decompress(value))["ranges"] == [[0, 9, "m0", "m1"]]
