Send nothing more once a server has told of a later leader

A leader without its lease that met a higher fence tried again with fences of its own until the role was closed. A server that starts anew in between has forgotten the later fence and accepts such a grant, while the key is already at another server.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -73,7 +73,7 @@
     unstored : bool
         Whether ownership changed since it was last stored.
     deposed : bool
-        Whether a server has seen the fences of a later leader.
+        Whether a server has seen the fences of a later leader; nothing is sent then.
     """
 
     service: ServiceName
@@ -84,6 +84,7 @@
     taken_over_at: MonotonicSeconds
     unstored: bool = False
     deposed: bool = False
+    _leased: bool = True
     _hand_overs: list[HandOver] = field(factory=list)
     _numbers: int = 0
     _pending: dict[int, PendingOrder] = field(factory=dict)
@@ -143,6 +144,9 @@
             Whether the leader's lease is surely in force; without it only settled
             ranges are renewed.
         """
+        self._leased = leased
+        if self.deposed:
+            return []
         if leased:
             self.table.join_settled()
         if now >= self._store_end_at:
@@ -375,7 +379,7 @@
         item.serving_until = _NEVER
         item.next_order_at = now
         item.fence = 0
-        if item.failures > _FAILURES_TO_GIVE_UP:
+        if not self._leased or item.failures > _FAILURES_TO_GIVE_UP:
             self.deposed = True
             item.next_order_at = now + _REPEAT_AFTER_S
 
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -282,6 +282,27 @@
     assert model.holder.control.deposed
 
 
+def test_a_leader_without_lease_that_meets_a_later_fence_sends_nothing_more(model):
+    """A server that starts anew forgets the later fence and would accept the grant."""
+    former = model.holder
+    server = model.servers[model.find_owner(0)]
+    former.contact = False
+    model.advance(model.times.lease_s)
+    model.take_over()
+    model.tick(model.holder)
+    for flight in list(model.flights):
+        model.deliver(flight)
+    model.advance(model.times.renewal_s)
+    model.tick(former)
+    (renewal,) = [f for f in model.flights if f.order.first == 0]
+    model.deliver(renewal)
+    assert former.control.deposed
+    model.restart(server)
+    model.advance(model.times.renewal_s)
+    model.tick(former)
+    assert not [flight for flight in model.flights if flight.leader is former]
+
+
 def test_an_unsent_grant_does_not_prolong_the_wait(model):
     control = model.holder.control
     item = control.table.find(0)
