--- a/basilwick/transport/channel.py
+++ b/basilwick/transport/channel.py
@@ -12,7 +12,8 @@
 from basilwick.core.latency import LatencyWindow
 from basilwick.core.retries import compute_silence_limit, is_silent
 from basilwick.core.timing import SERVER_SILENT_AFTER_S
-from basilwick.transport.connection import LOST, AnswerStream, ConnectionPool
+from basilwick.transport.connection import LOST, AnswerStream
+from basilwick.transport.connection_pool import ConnectionPool
 from basilwick.transport.exchange import (
     SMALL_BODY_BYTES,
     Answer,
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -10,7 +10,8 @@
 
 from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.errors import Refusal
-from basilwick.transport.connection import LOST, AnswerStream, ConnectionPool
+from basilwick.transport.connection import LOST, AnswerStream
+from basilwick.transport.connection_pool import ConnectionPool
 from basilwick.transport.exchange import SMALL_BODY_BYTES, is_own_field
 
 if TYPE_CHECKING:
--- a/tests/transport/test_server_client.py
+++ b/tests/transport/test_server_client.py
@@ -11,7 +11,7 @@
 
 from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.platform.backends import read_answer_marks
-from basilwick.transport.connection import ConnectionPool
+from basilwick.transport.connection_pool import ConnectionPool
 from basilwick.transport.server_client import (
     SendFailure,
     ServerAnswer,
