Write no order after the time that other leaders allow for its arrival

Callers saw two owners of one key after a partition; one hypothesis is an order that outlived its sender. A grant or release is decided under the leader's permission, then a task is started and a connection may be opened, and nothing checked the time before the write.

Evidence: in the new tests the local clock jumps 5 s after the decision, before the task starts or while the connection opens.

A request can now carry the local time from which it must not be written. The client compares it with the clock directly before the write, with no await in between, and an expired request counts as never sent. The keeper sets the time to that of the decision plus the timeout of a grant, for releases as well, whose longer timeout is only for the answer.

--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -250,17 +250,21 @@
             revision = item.revision
         self._revision = revision
 
-    async def _send(self, order: Order) -> None:
+    async def _send(self, order: Order, decided_at: MonotonicSeconds) -> None:
         server = self._view.get_server(order.server)
         if server is None:
             answer = None
         elif isinstance(order, GrantOrder):
             data = encode_grant(order, server.address)
             timeout_s = self._times.order_timeout_s
-            answer = await self._call(server.address, data, timeout_s, order.ends_hold)
+            answer = await self._call(
+                server.address, data, decided_at, timeout_s, order.ends_hold
+            )
         else:
             data = encode_release(order, server.address)
-            answer = await self._call(server.address, data, _RELEASE_TIMEOUT_S, True)
+            answer = await self._call(
+                server.address, data, decided_at, _RELEASE_TIMEOUT_S, True
+            )
         result, hand_over = _interpret(answer)
         now = self._clock()
         if result is not OrderResult.OK:
@@ -286,14 +290,27 @@
         if not self._authority.may_renew():
             return
         leased = self._authority.may_move()
-        for order in self.control.tick(self._clock(), leased):
-            self._spawn(self._send(order))
+        now = self._clock()
+        for order in self.control.tick(now, leased):
+            self._spawn(self._send(order, now))
 
     async def _call(
-        self, address: str, data: bytes, timeout_s: float, exclusive: bool
+        self,
+        address: str,
+        data: bytes,
+        decided_at: MonotonicSeconds,
+        timeout_s: float,
+        exclusive: bool,
     ) -> object:
         request = ServerRequest(
-            "POST", data, b"", b"", idempotent=True, exclusive=exclusive
+            "POST",
+            data,
+            b"",
+            b"",
+            idempotent=True,
+            exclusive=exclusive,
+            # Other leaders allow every order this time to arrive, releases too.
+            expires_at=decided_at + self._times.order_timeout_s,
         )
         return await self._client.send(address, request, timeout_s, _ORDER_CONNECTIONS)
 
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -65,6 +65,9 @@
     exclusive : bool
         Whether it goes on a connection of its own, where no copy of another answer can
         be taken for its answer.
+    expires_at : float
+        Local time from which it must not be written any more; it then counts as not
+        sent.
     """
 
     method: str
@@ -74,6 +77,7 @@
     idempotent: bool
     chunked: bool = False
     exclusive: bool = False
+    expires_at: MonotonicSeconds = float("inf")
 
 
 @frozen
@@ -198,10 +202,14 @@
         else:
             connection = await pool.acquire(limit_s)
         attempt.connection = connection
-        attempt.wrote = True
-        attempt.sent_at = self._clock()
         whole = isinstance(request.body, bytes)
         data = request.head + request.body if whole else request.head
+        attempt.sent_at = self._clock()
+        # Nothing may be awaited between this check and the write.
+        if attempt.sent_at >= request.expires_at:
+            detail = "the request expired before it was written"
+            return SendFailure(SendOutcome.UNREACHABLE, False, detail)
+        attempt.wrote = True
         connection.write_head(data, request.method == "HEAD")
         if whole:
             message, payload = await self._read_own_head(connection, request)
--- /dev/null
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -0,0 +1,183 @@
+"""Times of the orders that a leader sends to servers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+from attrs import define
+
+from basilwick.core.dispatch.site import ServerEntry, SiteView
+from basilwick.core.ranges.control import RangeControl
+from basilwick.core.ranges.orders import FenceBlock, OwnerTimes
+from basilwick.core.ranges.table import Phase, RangeTable, StoredRange
+from basilwick.platform.backends import read_answer_marks
+from basilwick.runtime.fleet.range_keeper import RangeKeeper
+from basilwick.transport.server_client import ServerClient
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+#: Longer than any server or leader may wait for an order.
+FREEZE_S = 5.0
+
+
+@define
+class ManualClock:
+    now: float = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@define
+class Authority:
+    """Permits everything; the machine freezes after the permission for moves."""
+
+    clock: ManualClock
+    freeze_s: float = 0.0
+
+    def may_renew(self):
+        return True
+
+    def may_move(self):
+        self.clock.now += self.freeze_s
+        return True
+
+
+@define
+class OnlyServer:
+    """Chooses the owner where there is no choice."""
+
+    service: str = "maps"
+
+    def may_own(self, server):
+        return True
+
+    def choose_owner(self, avoid):
+        return None
+
+    def list_owners(self, now):
+        return ["s0"]
+
+
+class OrderSite:
+    """A leader's keeper, one server, and the orders that reach it."""
+
+    def __init__(self):
+        self.answers = True
+        self.received = []
+        self.clock = ManualClock()
+        self.authority = Authority(self.clock)
+        self.times = OwnerTimes()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.client = ServerClient(self.clock, read_answer_marks)
+        self.keeper = self._build_keeper(f"127.0.0.1:{port}")
+        (self.range,) = self.keeper.control.table.ranges
+        self.range.held_until = self.held_before = self.clock.now + 1.0
+
+    def _build_keeper(self, address):
+        view = SiteView()
+        server = ServerEntry("s0", "maps", address, "a", 4, False, 0.0, 1)
+        view.apply_server(server, self.clock.now)
+        selection = OnlyServer()
+        keeper = RangeKeeper(
+            selection, view, None, self.client, self.times, self.clock, self.authority
+        )
+        table = RangeTable.restore([StoredRange(0, 65_535, "s0")])
+        fences = FenceBlock(1, 100)
+        keeper.control = RangeControl(
+            "maps", table, fences, self.times, selection, self.clock.now
+        )
+        return keeper
+
+    async def close(self):
+        await self.keeper.close()
+        await self.client.close()
+        self._server.close()
+
+    def enter(self, phase):
+        self.range.enter(phase, self.clock.now)
+        if phase is not Phase.OWNED:
+            self.range.target = "s1"
+            self.range.fence = 1
+
+    async def finish(self):
+        """Wait for the end of the orders that are under way."""
+        await asyncio.gather(*self.keeper._tasks)
+        # What was written has arrived after some turns of the loop.
+        await asyncio.sleep(0.05)
+
+    async def _serve(self, reader, writer):
+        try:
+            while order := await reader.read(4096):
+                self.received.append(order.split(b" ")[1])
+                if self.answers:
+                    writer.write(OK)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
+@pytest_asyncio.fixture
+async def site():
+    site = OrderSite()
+    await site.start()
+    yield site
+    await site.close()
+
+
+PHASES = pytest.mark.parametrize(
+    "phase", [Phase.OWNED, Phase.RAISING, Phase.RELEASING], ids=lambda p: p.value
+)
+
+
+@PHASES
+async def test_an_order_is_not_written_after_a_freeze_that_follows_its_decision(
+    site, phase
+):
+    """A frozen leader's grant went out after later leaders had stopped allowing it."""
+    site.enter(phase)
+    site.keeper.tick()
+    site.clock.now += FREEZE_S
+    await site.finish()
+    assert site.received == []
+    assert site.range.failures == 1
+
+
+@PHASES
+async def test_an_order_is_not_written_after_a_freeze_while_its_connection_opens(
+    site, phase
+):
+    """The time was checked before the connection was opened, not at the write."""
+    site.enter(phase)
+    site.keeper.tick()
+    await asyncio.sleep(0)
+    site.clock.now += FREEZE_S
+    await site.finish()
+    assert site.received == []
+    assert site.range.failures == 1
+
+
+async def test_a_renewal_is_not_written_late_on_a_kept_connection(site):
+    """A renewal on an idle connection is written without any wait before it."""
+    site.keeper.tick()
+    await site.finish()
+    assert site.received == [b"/grant"]
+    site.clock.now += site.times.renewal_s
+    site.keeper.tick()
+    site.clock.now += site.times.order_timeout_s
+    await site.finish()
+    assert site.received == [b"/grant"]
+
+
+async def test_an_order_that_expired_holds_no_keys(site):
+    """An order that was never written kept its keys from a new owner for a hold."""
+    site.keeper.tick()
+    assert site.range.held_until > site.held_before
+    site.clock.now += FREEZE_S
+    await site.finish()
+    assert site.range.held_until == site.held_before
