Count the wait for an order's answer from its decision

Others allow an order 0.6 s from its decision until it has arrived or is given up. The client counted this time from the start of the task that sends the order, so a stalled loop added its stall to the time until the connection was reset, and an order that a partition held up could still be delivered in it.

Evidence: with 0.4 s between decision and task the new tests fail without the change: the wait is 0.6 s instead of 0.2 s for a grant, and 3.0 s instead of 2.6 s for a release.

The keeper now passes what is left of the time since the decision.

--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -312,7 +312,8 @@
             # Other leaders allow every order this time to arrive, releases too.
             expires_at=decided_at + self._times.order_timeout_s,
         )
-        return await self._client.send(address, request, timeout_s, _ORDER_CONNECTIONS)
+        left_s = decided_at + timeout_s - self._clock()
+        return await self._client.send(address, request, left_s, _ORDER_CONNECTIONS)
 
 
 def _interpret(answer: object) -> tuple[OrderResult, str | None]:
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 import pytest_asyncio
 from attrs import define
 
+from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.dispatch.site import ServerEntry, SiteView
 from basilwick.core.ranges.control import RangeControl
 from basilwick.core.ranges.orders import FenceBlock, OwnerTimes
 from basilwick.core.ranges.table import Phase, RangeTable, StoredRange
 from basilwick.platform.backends import read_answer_marks
 from basilwick.runtime.fleet.range_keeper import RangeKeeper
-from basilwick.transport.server_client import ServerClient
+from basilwick.transport.server_client import SendFailure, ServerClient
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 #: Longer than any server or leader may wait for an order.
@@ -181,3 +183,24 @@
     site.clock.now += FREEZE_S
     await site.finish()
     assert site.range.held_until == site.held_before
+
+
+@pytest.mark.parametrize(
+    ("phase", "timeout_s"), [(Phase.OWNED, 0.6), (Phase.RELEASING, 3.0)]
+)
+async def test_the_wait_for_an_answer_runs_from_the_decision(
+    site, monkeypatch, phase, timeout_s
+):
+    """A stalled loop added its stall to the time until an order was given up."""
+    waits = []
+
+    async def send(address, request, wait_s, max_connections):
+        waits.append(wait_s)
+        return SendFailure(SendOutcome.TIMEOUT, True, "no answer in time")
+
+    monkeypatch.setattr(site.keeper, "_client", SimpleNamespace(send=send))
+    site.enter(phase)
+    site.keeper.tick()
+    site.clock.now += 0.4
+    await site.finish()
+    assert waits == [pytest.approx(timeout_s - 0.4)]
