Date an order's decision before the look at its permission

The keeper asked whether the lease was in force and read the clock for the decision afterwards. A machine that froze in between dated the decision after the freeze, so the order went out up to 0.6 s after a moment at which its permission had long ended.

Evidence: with a freeze of 5 s right after the look at the permission for moves, the new test fails without the change: the server receives the grant.

The clock is read first. The permission is looked at later than the decision is dated, so it was in force at that date, and the order's time to be written runs from there.

--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -287,10 +287,11 @@
             self._send_due()
 
     def _send_due(self) -> None:
+        # Read first, so that no order counts as decided after its permission ended.
+        now = self._clock()
         if not self._authority.may_renew():
             return
         leased = self._authority.may_move()
-        now = self._clock()
         for order in self.control.tick(now, leased):
             self._spawn(self._send(order, now))
 
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -204,3 +204,11 @@
     site.clock.now += 0.4
     await site.finish()
     assert waits == [pytest.approx(timeout_s - 0.4)]
+
+
+async def test_a_freeze_after_the_permission_was_checked_sends_no_order(site):
+    """The decision was dated after a freeze that had ended the permission for it."""
+    site.authority.freeze_s = FREEZE_S
+    site.keeper.tick()
+    await site.finish()
+    assert site.received == []
