Reset connections to servers by every close, not only by those in code

Callers saw two owners of one key after a partition; one hypothesis is an order that outlived its sender. A connection that the code gave up was reset, but others closed it with FIN, and the kernel then delivers what it holds when the partition heals: the kernel itself when the process ends, the transport when the peer has closed its side, and aiohttp's parser when an answer is unreadable. In the latter two cases the close came before the pool's reset.

SO_LINGER of 0 s is now set when the connection is made, before the first byte, and abort_transport needs no call of its own for it. That is one system call a connection as before, and one more for a connection that the server closes.

Requests of callers and of basilwick serve use the same connections and lose nothing by it: every release of a connection that isn't reusable reset it already, on every way out of Channel.attempt and ServerClient.send, and what was read before the close stays in memory. At the end of the process the caller's connection ends too, so nobody waits for the answers of the requests that are reset.

--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -54,6 +54,16 @@
         #: Whether a request was sent whose answer is not read yet.
         self._awaited = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let every close reset the connection, also that at the end of the process.
+
+        A plain close would leave the bytes to the kernel, which delivers them when a
+        partition heals, long after the sender has given them up.
+        """
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Note the time of arrival and parse.
 
@@ -149,16 +159,9 @@
         self.abort_transport()
 
     def abort_transport(self) -> None:
-        """Reset the connection, so that what was not delivered yet never is.
-
-        A plain close would leave the bytes to the kernel, which delivers them when a
-        partition heals, long after the sender has given them up.
-        """
+        """Reset the connection, so that what was not delivered yet never is."""
         self._should_close = True
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
             self.transport.abort()
 
 
