Use no connection that opens while its pool is closed or retired

A request that was opening a connection when its pool ended got the connection all the same and was written on it. After ConnectionPool.close nothing but the request's own timeout closed that connection, and after ServerClient.forget an order or request went to a server that was already taken as gone.

Evidence: without the change both cases of the new test fail, because open_new returns a connection after close, or retire, instead of raising PoolClosedError.

The pool looks again once the connection is made, resets it and raises PoolClosedError, as it does for requests that wait for a connection. Nothing was written, so the send counts as not made.

--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -171,6 +171,9 @@
             self._opening -= 1
             if connection is None:
                 self._wake_one()
+        if self._closed:
+            connection.abort_transport()
+            raise PoolClosedError("the pool was closed while a connection was opened")
         connection.received_at = self._clock()
         self._open.add(connection)
         return connection
--- a/tests/transport/test_connection_resets.py
+++ b/tests/transport/test_connection_resets.py
@@ -12,7 +12,7 @@
 import pytest_asyncio
 
 from basilwick.platform.backends import read_answer_marks
-from basilwick.transport.connection_pool import ConnectionPool
+from basilwick.transport.connection_pool import ConnectionPool, PoolClosedError
 from basilwick.transport.server_client import SendFailure, ServerClient, ServerRequest
 
 HEAD = b"POST /grant HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
@@ -151,3 +151,28 @@
         size += len(chunk)
     assert (received, size) == ([4 << 20], 1 << 20)
     server.close()
+
+
+@pytest.mark.parametrize("end", ["close", "retire"])
+async def test_a_connection_that_opens_while_its_pool_ends_is_not_used(end):
+    """An order was written to a server after all its connections had been closed."""
+    ends = asyncio.Queue()
+
+    async def receive(reader, writer):
+        try:
+            ends.put_nowait(await reader.read(100))
+        except ConnectionError:
+            ends.put_nowait(b"")
+        writer.close()
+
+    server = await asyncio.start_server(receive, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    pool = ConnectionPool(address, 2, monotonic)
+    opening = asyncio.create_task(pool.open_new())
+    await asyncio.sleep(0)
+    getattr(pool, end)()
+    with pytest.raises(PoolClosedError):
+        await opening
+    assert pool.open == 0
+    assert await asyncio.wait_for(ends.get(), 2) == b""
+    server.close()
