Guard the ends of sends to servers by tests

They play the ways on which an order could outlive its send: cancel, close of the client or of the keeper, a server that is forgotten, a cancel at each turn of the loop while a connection opens, and 300 orders with timeouts from 0 to 1.5 ms, of which none that is reported as not sent may arrive.

--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -68,6 +68,7 @@
     def __init__(self):
         self.answers = True
         self.received = []
+        self.ends = asyncio.Queue()
         self.clock = ManualClock()
         self.authority = Authority(self.clock)
         self.times = OwnerTimes()
@@ -118,8 +119,9 @@
                 self.received.append(order.split(b" ")[1])
                 if self.answers:
                     writer.write(OK)
+            self.ends.put_nowait("closed")
         except ConnectionError:
-            pass
+            self.ends.put_nowait("reset")
         finally:
             writer.close()
 
@@ -212,3 +214,14 @@
     site.keeper.tick()
     await site.finish()
     assert site.received == []
+
+
+async def test_orders_under_way_are_reset_when_the_keeper_is_closed(site):
+    """An order of a leader that ceased to lead was delivered later."""
+    site.answers = False
+    site.keeper.tick()
+    async with asyncio.timeout(2):
+        while not site.received:
+            await asyncio.sleep(0.01)
+    await site.keeper.close()
+    assert await asyncio.wait_for(site.ends.get(), 2) == "reset"
--- a/tests/transport/test_connection_resets.py
+++ b/tests/transport/test_connection_resets.py
@@ -153,6 +153,93 @@
     server.close()
 
 
+async def cancel(client, address, send):
+    send.cancel()
+
+
+async def close_client(client, address, send):
+    await client.close()
+
+
+async def forget(client, address, send):
+    client.forget(address)
+
+
+async def wait(client, address, send):
+    pass
+
+
+@pytest.mark.parametrize("end", [cancel, close_client, forget, wait])
+async def test_a_send_resets_its_connection_however_it_ends(peer, client, end):
+    """A send that ended another way than by its timeout left its order behind."""
+    send = asyncio.create_task(client.send(peer.address, ORDER, 0.3, 4))
+    await peer.accept()
+    await asyncio.sleep(0.05)
+    await end(client, peer.address, send)
+    await asyncio.gather(send, return_exceptions=True)
+    assert await peer.read_end() == "reset"
+
+
+async def test_an_order_reported_as_not_sent_never_arrives(client):
+    """A timeout at the moment of the write could report a written order as unsent."""
+    received = set()
+
+    async def receive(reader, writer):
+        try:
+            while data := await reader.read(1 << 16):
+                received.update(data.split(b"\r\n\r\n"))
+        except ConnectionError:
+            pass
+        writer.close()
+
+    server = await asyncio.start_server(receive, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    unsent = set()
+    for number in range(300):
+        head = b"POST /%d HTTP/1.1" % number
+        exclusive = bool(number % 2)
+        order = ServerRequest(
+            "POST", head + b"\r\n\r\n", b"", b"", True, False, exclusive
+        )
+        result = await client.send(address, order, number * 5e-6, 4)
+        if not result.may_have_run:
+            unsent.add(head)
+    await asyncio.sleep(0.2)
+    assert unsent
+    assert received
+    assert not unsent & received
+    server.close()
+
+
+@pytest.mark.parametrize("turns", range(8))
+async def test_a_connection_that_opens_during_a_cancel_is_not_left_open(turns):
+    """A connection made at the moment of a cancel would belong to nobody."""
+    ends = asyncio.Queue()
+
+    async def receive(reader, writer):
+        try:
+            ends.put_nowait(await reader.read(100))
+        except ConnectionError:
+            ends.put_nowait(b"")
+        writer.close()
+
+    server = await asyncio.start_server(receive, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    pool = ConnectionPool(address, 2, monotonic)
+    opening = asyncio.create_task(pool.open_new())
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    opening.cancel()
+    (result,) = await asyncio.gather(opening, return_exceptions=True)
+    if isinstance(result, asyncio.CancelledError):
+        assert pool.open == pool._opening == 0
+    else:
+        pool.release(result, reusable=False)
+    if turns:
+        assert await asyncio.wait_for(ends.get(), 2) == b""
+    server.close()
+
+
 @pytest.mark.parametrize("end", ["close", "retire"])
 async def test_a_connection_that_opens_while_its_pool_ends_is_not_used(end):
     """An order was written to a server after all its connections had been closed."""
