Give back the connection of an order whose answer has a large body

The body of an answer of more than a small size is left to be read piece by piece, and its connection is given back at its end. The keeper looks only at the status of an answer, so the connection of such an order stayed open and taken. After 16 of them no renewal to that server found a connection.

Evidence: with an answer of 1 MiB to a grant the new test fails without the change: the pool counts one open connection after the order has ended.

The keeper closes such a body, which resets the connection; the order is known to have arrived by then.

--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -16,7 +16,12 @@
 from basilwick.core.ranges.table import RangeTable, StoredRange
 from basilwick.platform.backends import encode_grant, encode_release
 from basilwick.platform.store import WriteResult
-from basilwick.transport.server_client import SendFailure, ServerRequest
+from basilwick.transport.connection import AnswerStream
+from basilwick.transport.server_client import (
+    SendFailure,
+    ServerAnswer,
+    ServerRequest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -314,7 +319,10 @@
             expires_at=decided_at + self._times.order_timeout_s,
         )
         left_s = decided_at + timeout_s - self._clock()
-        return await self._client.send(address, request, left_s, _ORDER_CONNECTIONS)
+        answer = await self._client.send(address, request, left_s, _ORDER_CONNECTIONS)
+        if isinstance(answer, ServerAnswer) and isinstance(answer.body, AnswerStream):
+            answer.body.close()
+        return answer
 
 
 def _interpret(answer: object) -> tuple[OrderResult, str | None]:
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -66,7 +66,7 @@
     """A leader's keeper, one server, and the orders that reach it."""
 
     def __init__(self):
-        self.answers = True
+        self.answer = OK
         self.received = []
         self.ends = asyncio.Queue()
         self.clock = ManualClock()
@@ -117,8 +117,7 @@
         try:
             while order := await reader.read(4096):
                 self.received.append(order.split(b" ")[1])
-                if self.answers:
-                    writer.write(OK)
+                writer.write(self.answer)
             self.ends.put_nowait("closed")
         except ConnectionError:
             self.ends.put_nowait("reset")
@@ -218,10 +217,21 @@
 
 async def test_orders_under_way_are_reset_when_the_keeper_is_closed(site):
     """An order of a leader that ceased to lead was delivered later."""
-    site.answers = False
+    site.answer = b""
     site.keeper.tick()
     async with asyncio.timeout(2):
         while not site.received:
             await asyncio.sleep(0.01)
     await site.keeper.close()
     assert await asyncio.wait_for(site.ends.get(), 2) == "reset"
+
+
+async def test_an_answer_with_a_large_body_gives_its_connection_back(site):
+    """Orders' connections stayed open until none was left for renewals."""
+    body = b"x" * (1 << 20)
+    site.answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    site.keeper.tick()
+    await site.finish()
+    assert site.range.confirmed
+    (pool,) = site.client._pools.values()
+    assert pool.open == 0
