Renew without the lease only processes that were reached with it

Two servers could hold a key when a server started anew while an earlier leader, cut off from the store, still renewed its settled ranges: the later leader had moved the key away, the new process knew no fences, and it accepted the earlier leader's renewal. Nothing that the later leader does can prevent this, because the server has forgotten its fence.

Without the lease a renewal now goes only on a connection that carried an earlier order. Such a connection ends with the process at its other end, and without the lease none is opened. A range whose connections are lost is not renewed until a leader has the lease; that costs service during an outage of the store in which connections are reset too.

What describes a range to the dispatcher is a module of its own, and the keeper builds the request of an order in one place.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -11,12 +11,13 @@
 - The former owner is first granted the range with a higher fence and must answer, which
   shuts out earlier grants still under way; then it releases the range and must answer,
   or all grants that it may have are waited out.
-- A leader whose lease may have ended sends only renewals of settled ranges, and these
-  for a bounded time. A later leader waits for the end of the lease before it goes on
-  with a stored move, and for that bounded time before it gives away the keys of a
-  server that it never reached. That includes the new owner of a stored move, because
-  the earlier leader may have completed the move without storing its end, and a former
-  owner that the leader which stored the move had not reached.
+- A leader whose lease may have ended sends only renewals of settled ranges, only to
+  processes of servers that it reached with its lease, and for a bounded time. A later
+  leader waits for the end of the lease before it goes on with a stored move, and for
+  that bounded time before it gives away the keys of a server that it never reached.
+  That includes the new owner of a stored move, because the earlier leader may have
+  completed the move without storing its end, and a former owner that the leader which
+  stored the move had not reached.
 """
 
 from __future__ import annotations
@@ -25,7 +26,6 @@
 
 from attrs import define, field
 
-from basilwick.core.dispatch.owners import KeyOwner
 from basilwick.core.ranges.orders import (
     FenceBlock,
     GrantOrder,
@@ -38,12 +38,14 @@
 )
 from basilwick.core.ranges.pending import PendingOrder
 from basilwick.core.ranges.placement import plan_even_shares
+from basilwick.core.ranges.serving import describe_owner
 from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
 from basilwick.core.ranges.takeover import begin_takeover
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from basilwick.core.dispatch.owners import KeyOwner
     from basilwick.core.ranges.placement import Move
     from basilwick.core.ranges.servers import Servers
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
@@ -57,8 +59,6 @@
 _REPEAT_AFTER_S = 0.2
 #: Orders without an answer after which a server counts as unreachable.
 _FAILURES_TO_GIVE_UP = 2
-#: Time in seconds by which a range stops being served before its grant ends.
-_SERVING_MARGIN_S = 0.15
 _NEVER = float("-inf")
 
 
@@ -100,18 +100,7 @@
         self, service: ServiceName, key: int, now: MonotonicSeconds
     ) -> KeyOwner:
         """Return the owner of a key."""
-        item = self.table.find(key)
-        if item.phase in (Phase.OWNED, Phase.STORING):
-            if item.owner is not None and not self.servers.may_own(item.owner):
-                return KeyOwner(None, moving=True)
-            if now < item.serving_until - _SERVING_MARGIN_S:
-                return KeyOwner(item.owner)
-            return KeyOwner(None, moving=not item.failures, served_in_s=0.3)
-        if item.phase in (Phase.RAISING, Phase.RELEASING):
-            return KeyOwner(None, moving=True)
-        if item.phase is Phase.FREE:
-            return KeyOwner(None)
-        return KeyOwner(None, served_in_s=max(0.2, item.held_until - now))
+        return describe_owner(self.table.find(key), self.servers, now)
 
     def move(self, moves: Sequence[Move], now: MonotonicSeconds) -> list[Move]:
         """Begin moves; returns those that were begun."""
@@ -315,7 +304,8 @@
             item.fence,
             hold_s,
             item.hand_over if item.phase is Phase.OWNED else None,
-            item.phase is Phase.RAISING,
+            ends_hold=item.phase is Phase.RAISING,
+            same_process=not self._leased,
         )
 
     def _order_release(self, item: KeyRange, now: MonotonicSeconds) -> Order | None:
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -110,6 +110,9 @@
     ends_hold : bool
         Whether it goes to the former owner of a move, so that ownership depends on its
         answer.
+    same_process : bool
+        Whether it must reach the process that earlier orders reached. A server that
+        started anew would accept it whatever later leaders have done.
     """
 
     number: int
@@ -120,6 +123,7 @@
     hold_s: float
     hand_over: str | None = None
     ends_hold: bool = False
+    same_process: bool = False
 
 
 @frozen
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -7,12 +7,18 @@
 from zlib import compress, decompress
 from zlib import error as ZlibError
 
+from attrs import evolve
 from loguru import logger
 from orjson import JSONDecodeError, dumps, loads
 
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.control import RangeControl
-from basilwick.core.ranges.orders import FenceBlock, GrantOrder, OrderResult
+from basilwick.core.ranges.orders import (
+    FenceBlock,
+    GrantOrder,
+    OrderResult,
+    ReleaseOrder,
+)
 from basilwick.core.ranges.table import RangeTable, StoredRange
 from basilwick.platform.backends import encode_grant, encode_release
 from basilwick.platform.store import WriteResult
@@ -277,19 +283,9 @@
 
     async def _send(self, order: Order, decided_at: MonotonicSeconds) -> None:
         server = self._view.get_server(order.server)
-        if server is None:
-            answer = None
-        elif isinstance(order, GrantOrder):
-            data = encode_grant(order, server.address)
-            timeout_s = self._times.order_timeout_s
-            answer = await self._call(
-                server.address, data, decided_at, timeout_s, order.ends_hold
-            )
-        else:
-            data = encode_release(order, server.address)
-            answer = await self._call(
-                server.address, data, decided_at, _RELEASE_TIMEOUT_S, True
-            )
+        answer = None
+        if server is not None:
+            answer = await self._call(order, server.address, decided_at)
         result, hand_over = _interpret(answer)
         now = self._clock()
         if result is not OrderResult.OK:
@@ -334,30 +330,38 @@
             ).info("keys handed over")
 
     async def _call(
-        self,
-        address: str,
-        data: bytes,
-        decided_at: MonotonicSeconds,
-        timeout_s: float,
-        exclusive: bool,
+        self, order: Order, address: str, decided_at: MonotonicSeconds
     ) -> object:
-        request = ServerRequest(
-            "POST",
-            data,
-            b"",
-            b"",
-            idempotent=True,
-            exclusive=exclusive,
-            # Other leaders allow every order this time to arrive, releases too.
-            expires_at=decided_at + self._times.order_timeout_s,
-        )
-        left_s = decided_at + timeout_s - self._clock()
+        request = encode_order(order, address)
+        # Other leaders allow every order this time to arrive, releases too.
+        expires_at = decided_at + self._times.order_timeout_s
+        request = evolve(request, expires_at=expires_at)
+        wait_s = self._times.order_timeout_s
+        if isinstance(order, ReleaseOrder):
+            wait_s = _RELEASE_TIMEOUT_S
+        left_s = decided_at + wait_s - self._clock()
         answer = await self._client.send(address, request, left_s, _ORDER_CONNECTIONS)
         if isinstance(answer, ServerAnswer) and isinstance(answer.body, AnswerStream):
             answer.body.close()
         return answer
 
 
+def encode_order(order: Order, address: str) -> ServerRequest:
+    """Return the request that carries an order."""
+    if isinstance(order, ReleaseOrder):
+        data = encode_release(order, address)
+        return ServerRequest("POST", data, b"", b"", idempotent=True, exclusive=True)
+    return ServerRequest(
+        "POST",
+        encode_grant(order, address),
+        b"",
+        b"",
+        idempotent=True,
+        exclusive=order.ends_hold,
+        kept=order.same_process,
+    )
+
+
 def _interpret(answer: object) -> tuple[OrderResult, str | None]:
     if answer is None:
         return OrderResult.UNSENT, None
--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -13,7 +13,7 @@
 
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["ConnectionPool", "PoolClosedError"]
+__all__ = ["ConnectionPool", "NoKeptConnectionError", "PoolClosedError"]
 
 #: Longest time in seconds to open a connection; one takes about 1 ms.
 CONNECT_TIMEOUT_S = 0.4
@@ -26,6 +26,10 @@
     """The pool was closed while a connection was wanted."""
 
 
+class NoKeptConnectionError(ConnectionError):
+    """A kept connection was wanted, and there is none."""
+
+
 class ConnectionPool:
     """Kept connections to one address.
 
@@ -77,14 +81,33 @@
                 return connection
             if len(self._open) + self._opening < self.bound:
                 return await self._connect()
-            waiter = self._loop.create_future()
-            self._waiters.append(waiter)
-            try:
-                await waiter
-            except asyncio.CancelledError:
-                if waiter.done() and not waiter.cancelled():
-                    self._wake_one()
-                raise
+            await self._wait_for_release()
+
+    async def acquire_kept(self, idle_limit_s: float = _IDLE_LIMIT_S) -> HttpConnection:
+        """Return a connection that carried an earlier request; opens none.
+
+        Raises
+        ------
+        OSError
+            If no connection is open.
+        """
+        while self._open and not self._closed:
+            connection = self._take_idle(idle_limit_s)
+            if connection is not None:
+                return connection
+            if self._open:
+                await self._wait_for_release()
+        raise NoKeptConnectionError("no connection to this address is open")
+
+    async def _wait_for_release(self) -> None:
+        waiter = self._loop.create_future()
+        self._waiters.append(waiter)
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self._wake_one()
+            raise
 
     async def open_new(self) -> HttpConnection:
         """Return a connection that carried no request, beyond the bound if need be.
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -65,6 +65,9 @@
     exclusive : bool
         Whether it goes on a connection of its own, where no copy of another answer can
         be taken for its answer.
+    kept : bool
+        Whether it goes only on a connection that carried an earlier request, so that it
+        reaches no process that started since.
     expires_at : float
         Local time from which it must not be written any more; it then counts as not
         sent.
@@ -77,6 +80,7 @@
     idempotent: bool
     chunked: bool = False
     exclusive: bool = False
+    kept: bool = False
     expires_at: MonotonicSeconds = float("inf")
 
 
@@ -199,6 +203,8 @@
         limit_s = _IDLE_LIMIT_S if request.idempotent else _IDLE_LIMIT_ONCE_S
         if request.exclusive:
             connection = await pool.open_new()
+        elif request.kept:
+            connection = await pool.acquire_kept(limit_s)
         else:
             connection = await pool.acquire(limit_s)
         attempt.connection = connection
--- a/tests/core/ranges/ownership_model.py
+++ b/tests/core/ranges/ownership_model.py
@@ -82,9 +82,20 @@
     alive: bool = True
     #: Servers to which this leader can't open a connection.
     unreached: set[str] = field(factory=set)
+    #: Start of each server to which it has a connection from the time of its lease.
+    connected: dict[str, int] = field(factory=dict)
     #: Starts of each server that this leader knows.
     starts: dict[str, int] = field(factory=dict)
 
+    def connect(self, server, order):
+        """Return whether a connection that an order may use can be had."""
+        if server.name in self.unreached:
+            return False
+        if isinstance(order, GrantOrder) and order.same_process:
+            return self.connected.get(server.name) == server.starts
+        self.connected[server.name] = server.starts
+        return True
+
     def note_restarts(self, servers, now):
         """Take what the store tells of servers that started anew."""
         for server in servers:
@@ -204,7 +215,7 @@
         """Bring an order to its server, and perhaps the answer back."""
         self.flights.remove(flight)
         server = self.servers[flight.order.server]
-        if server.name in flight.leader.unreached:
+        if not flight.leader.connect(server, flight.order):
             self.answer(flight, OrderResult.UNSENT)
             return
         result = OrderResult.LOST
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -268,6 +268,28 @@
     assert model.find_owner(0) not in (None, name)
 
 
+def test_a_leader_without_lease_does_not_renew_a_process_that_started_later(model):
+    """It would take keys that a later leader has given to another server since."""
+    former = model.holder
+    name = model.find_owner(0)
+    former.contact = False
+    model.advance(model.times.lease_s)
+    model.take_over()
+    model.tick(model.holder)
+    for flight in list(model.flights):
+        model.deliver(flight)
+    model.move(model.holder, 0, "s2")
+    for _ in range(4):
+        model.tick(model.holder)
+        model.store(model.holder)
+        for flight in list(model.flights):
+            model.deliver(flight)
+    assert model.find_owner(0) == "s2"
+    model.servers[name].restart()
+    follow_partition(model, former, 3.0)
+    assert model.find_owner(0) == "s2"
+
+
 def test_a_restarted_former_owner_of_a_move_is_asked_again(model):
     """Its keys must not wait for a hold when the new process answers."""
     name = model.find_owner(0)
@@ -514,7 +536,7 @@
 
 
 #: Seeds beyond the first ones that found a fault.
-FOUND = (322, 1405)
+FOUND = (322, 1405, 3107)
 
 
 @pytest.mark.parametrize("seed", [*range(150), *FOUND])
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -37,13 +37,14 @@
 
     clock: ManualClock
     freeze_s: float = 0.0
+    leased: bool = True
 
     def may_renew(self):
         return True
 
     def may_move(self):
         self.clock.now += self.freeze_s
-        return True
+        return self.leased
 
 
 @define
@@ -69,6 +70,7 @@
         self.answer = OK
         self.received = []
         self.ends = asyncio.Queue()
+        self._writers = []
         self.clock = ManualClock()
         self.authority = Authority(self.clock)
         self.times = OwnerTimes()
@@ -101,6 +103,15 @@
         await self.client.close()
         self._server.close()
 
+    async def restart_server(self):
+        """Reset all connections, and listen at the same address again."""
+        address = self._server.sockets[0].getsockname()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self._server = await asyncio.start_server(self._serve, *address)
+
     def enter(self, phase):
         self.range.enter(phase, self.clock.now)
         if phase is not Phase.OWNED:
@@ -114,6 +125,7 @@
         await asyncio.sleep(0.05)
 
     async def _serve(self, reader, writer):
+        self._writers.append(writer)
         try:
             while order := await reader.read(4096):
                 self.received.append(order.split(b" ")[1])
@@ -215,6 +227,23 @@
     assert site.received == []
 
 
+async def test_a_leader_without_lease_renews_no_process_that_started_later(site):
+    """It knows no later fence, and would take keys that another server has by now."""
+    site.keeper.tick()
+    await site.finish()
+    site.authority.leased = False
+    site.clock.now += site.times.renewal_s
+    site.keeper.tick()
+    await site.finish()
+    assert site.received == [b"/grant"] * 2
+    await site.restart_server()
+    site.clock.now += site.times.renewal_s
+    site.keeper.tick()
+    await site.finish()
+    assert site.received == [b"/grant"] * 2
+    assert site.range.failures == 1
+
+
 async def test_orders_under_way_are_reset_when_the_keeper_is_closed(site):
     """An order of a leader that ceased to lead was delivered later."""
     site.answer = b""
