End a term of leadership when its lease has ended

Cause: a leader whose lease had ended wrote its record again and went on with its old ranges, fences and dispatcher, and its last confirmation became fresh. Another leader may have moved keys in between and ended; the first could then send orders, also for moves, by overtaken decisions, and beyond the 9 s of renewals that others wait for. While the record could not be written or read, it went on leading. A renewal that crossed a planned stop wrote a record without a leader behind it, or began to lead again.

Evidence: on the code before, 6 of the 7 new tests fail. The regained leader keeps its FenceBlock(following=4, end=100000) though another leader stored 500,000 reserved fences and another owner; may_renew() of the former role is True; the instance still leads beside an unreadable record and while writes fail; a stopping instance leaves a record with a new lease, or leads. The seventh (keys are served again without the random delay) passes before and after.

Change: a LeaderTerm holds lease, revision and last confirmation, and is the authority of the role that it began; once ended it never permits an order again. When a renewal finds the lease ended, the term ends first; then the instance writes the record at once, without the random delay, and begins a new role, unless it is stopping or another instance leads.

Why it works: a role can't see the confirmations of a later term, and a new role reads the stored ranges and reserves its fences by compare-and-swap.

--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -16,6 +16,7 @@
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.table import RangeTable
 from basilwick.platform.store import WriteResult
+from basilwick.runtime.fleet.leader_term import LeaderTerm
 from basilwick.runtime.fleet.loops import repeat
 from basilwick.runtime.fleet.range_keeper import (
     OWN_PREFIX,
@@ -36,8 +37,6 @@
 
 _LEADER_KEY = f"{OWN_PREFIX}leader"
 _RANGES_PREFIX = get_ranges_key("")
-#: Part of the lease, in seconds, that is kept back for delays.
-_LEASE_MARGIN_S = 0.3
 #: Interval in seconds between renewals of the leader's lease.
 _RENEWAL_S = 0.5
 #: Interval in seconds between looks at who leads, and while the leader is heard.
@@ -128,6 +127,9 @@
 class Leadership:
     """Takes part in the choice of the leader.
 
+    A term of leadership ends with its lease. An instance that regains the record begins
+    a new term.
+
     Parameters
     ----------
     instance, address : str
@@ -135,7 +137,7 @@
     cores : float
         Its processor cores.
     begin, end : callable
-        Called when this instance begins or ceases to lead.
+        Called when a term of this instance begins or ends.
     link : LeaderLink
         Link to the leader.
     """
@@ -148,7 +150,7 @@
         store: Store,
         state: SharedState,
         link: LeaderLink,
-        begin: Callable[[], Awaitable[None]],
+        begin: Callable[[LeaderTerm], Awaitable[None]],
         end: Callable[[], Awaitable[None]],
         times: OwnerTimes,
         clock: Callable[[], MonotonicSeconds],
@@ -165,24 +167,15 @@
         self._times = times
         self._clock = clock
         self._rng = rng
-        self._lease = 0
-        self._revision = 0
+        self._term: LeaderTerm | None = None
         self._task: asyncio.Task[None] | None = None
         self._retiring = False
-        self.leading = False
         self._ended = asyncio.Event()
-        #: Local time at which the last successful renewal was sent.
-        self.confirmed_at: MonotonicSeconds = float("-inf")
-
-    def may_move(self) -> bool:
-        """Return whether the lease is surely in force."""
-        age_s = self._clock() - self.confirmed_at
-        return self.leading and age_s < self._times.lease_s - _LEASE_MARGIN_S
 
-    def may_renew(self) -> bool:
-        """Return whether settled ranges may still be renewed."""
-        age_s = self._clock() - self.confirmed_at
-        return self.leading and age_s < self._times.autonomy_s
+    @property
+    def leading(self) -> bool:
+        """Whether this instance leads."""
+        return self._term is not None
 
     async def start(self) -> None:
         """Begin to look at who leads."""
@@ -226,8 +219,8 @@
             if self.leading and self._retiring:
                 await self._hand_over()
                 return None
-            if self.leading:
-                await self._renew()
+            if self._term is not None:
+                await self._renew(self._term)
                 return _RENEWAL_S
             await self._follow()
             if self._link.alive:
@@ -269,22 +262,25 @@
             self._state.leader = None
 
     async def _try_to_lead(self, former: LeaderRecord | None) -> None:
+        if self._retiring:
+            return
         if former is not None:
             # A former leader that lives on after all finds its lease ended.
             await self._store.end_lease(former.lease, "lead")
-        if not await self._write_record():
+        term = await self._write_record()
+        if term is None:
             await self._learn_leader()
             return
         self._link.follow(None)
-        self.leading = True
+        self._term = term
         self._ended.clear()
-        logger.bind(revision=self._revision, former=former and former.instance).info(
+        logger.bind(revision=term.revision, former=former and former.instance).info(
             "leading the site"
         )
-        await self._begin()
+        await self._begin(term)
 
-    async def _write_record(self) -> bool:
-        """Write this instance as the leader if there is none."""
+    async def _write_record(self) -> LeaderTerm | None:
+        """Write this instance as the leader if there is none; returns its term."""
         sent_at = self._clock()
         lease = await self._store.create_lease(self._times.lease_s, "lead")
         value = dumps(
@@ -301,13 +297,11 @@
                 raise
             result, revision = WriteResult.DONE, item.revision
         if result is not WriteResult.DONE:
-            return False
-        self._lease, self._revision = lease, revision
-        self.confirmed_at = sent_at
+            return None
         self._state.leader = LeaderRecord(
             self._instance, self._address, lease, revision
         )
-        return True
+        return LeaderTerm(lease, revision, sent_at, self._times, self._clock)
 
     async def _learn_leader(self) -> None:
         item = await self._store.get(_LEADER_KEY, "read leader")
@@ -316,41 +310,47 @@
             return
         self._state.leader = _decode_record(item.value, item.revision)
 
-    async def _renew(self) -> None:
+    async def _renew(self, term: LeaderTerm) -> None:
         leader = self._state.leader
         if leader is not None and leader.instance != self._instance:
             await self._resign(f"{leader.instance} leads")
             return
         sent_at = self._clock()
-        if await self._store.renew_lease(self._lease, "renew leader"):
-            self.confirmed_at = sent_at
-            return
-        # The lease has ended; whoever writes the record first leads.
-        await self._learn_leader()
-        leader = self._state.leader
-        if leader is not None and leader.instance != self._instance:
-            await self._resign(f"{leader.instance} leads")
-            return
-        if leader is not None:
-            await self._store.end_lease(leader.lease, "lead")
-        if not await self._write_record():
-            await self._resign("another instance wrote the record")
+        if await self._store.renew_lease(term.lease, "renew leader"):
+            term.confirmed_at = sent_at
+        elif self._term is term:
+            await self._lead_anew(term)
+
+    async def _lead_anew(self, term: LeaderTerm) -> None:
+        """End a term whose lease has ended, and begin another one if nobody leads."""
+        self._forget_record(term)
+        await self._resign("the lease has ended")
+        if self._state.leader is None:
+            await self._try_to_lead(None)
 
     async def _hand_over(self) -> None:
         """Remove the own record, and cease to lead if that worked."""
-        if not self.leading:
+        term = self._term
+        if term is None:
             return
         try:
-            await self._store.remove(_LEADER_KEY, self._revision, "resign")
+            await self._store.remove(_LEADER_KEY, term.revision, "resign")
         except PlatformUnavailableError as error:
             logger.bind(reason=str(error)).debug("leader record not removed yet")
             return
-        if self.leading:
-            self._state.leader = None
+        if self._term is term:
+            self._forget_record(term)
             await self._resign("stopping")
 
+    def _forget_record(self, term: LeaderTerm) -> None:
+        """Take the record of a term as gone."""
+        leader = self._state.leader
+        if leader is not None and leader.revision == term.revision:
+            self._state.leader = None
+
     async def _resign(self, reason: str) -> None:
-        self.leading = False
+        term, self._term = self._term, None
+        term.ended = True
         self._ended.set()
         logger.bind(reason=reason).warning("no longer leading the site")
         await self._end()
@@ -359,6 +359,6 @@
             return
         self._state.leader = None
         try:
-            await self._store.remove(_LEADER_KEY, self._revision, "resign")
+            await self._store.remove(_LEADER_KEY, term.revision, "resign")
         except PlatformUnavailableError as error:
             logger.bind(reason=str(error)).info("leader record left to its lease")
--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -35,6 +35,7 @@
     from aiohttp.web import BaseRequest
 
     from basilwick.core.deployment import Deployment
+    from basilwick.runtime.fleet.leader_term import LeaderTerm
 
 __all__ = ["Member"]
 
@@ -203,7 +204,7 @@
             bounds.retry_window_s,
         )
 
-    async def _begin_to_lead(self) -> None:
+    async def _begin_to_lead(self, term: LeaderTerm) -> None:
         self._role = LeadRole(
             self._deployment,
             self._view,
@@ -213,7 +214,7 @@
             self._times,
             read_clock,
             self._rng,
-            self._leadership,
+            term,
         )
         await self._role.start()
         self._port.lead(self._role.desk)
--- /dev/null
+++ b/tests/runtime/fleet/test_leadership.py
@@ -0,0 +1,157 @@
+"""Terms of leadership: how one ends, and how the next one begins."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest_asyncio
+from fleet_site import FleetSite
+
+from basilwick.core.errors import PlatformUnavailableError
+from basilwick.runtime.fleet.range_keeper import get_ranges_key
+
+LEADER_KEY = "basilwick/leader"
+RANGES_KEY = get_ranges_key("maps")
+
+
+@pytest_asyncio.fixture
+async def site():
+    site = FleetSite(instances=1)
+    try:
+        await site.start()
+        yield site
+    finally:
+        await site.close()
+
+
+async def wait_until(condition, timeout_s=4.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def end_lease(site):
+    """End the lease of the leader's record; returns the lease."""
+    lease = site.store.read(LEADER_KEY)["lease"]
+    await site.members[0]._store.end_lease(lease, "test")
+    return lease
+
+
+async def wait_regained(site, former):
+    """Wait until the instance leads again, under another lease."""
+    (member,) = site.members
+
+    def is_regained():
+        record = site.store.read(LEADER_KEY)
+        return record is not None and record["lease"] != former
+
+    await wait_until(is_regained)
+    await wait_until(lambda: member._role and "maps" in member._role._keepers)
+
+
+async def test_a_regained_record_does_not_revive_decisions_that_were_overtaken(site):
+    """Another leader had moved keys and ended while the lease was over."""
+    (member,) = site.members
+    former_fences = member._role._keepers["maps"].control.fences
+    moved = {"reserved": 500_000, "ranges": [[0, 65_535, "map1", ""]]}
+    await site.store.put(RANGES_KEY, moved)
+    await wait_regained(site, await end_lease(site))
+    control = member._role._keepers["maps"].control
+    assert control.fences is not former_fences
+    assert control.fences.following >= moved["reserved"]
+    assert {item.owner for item in control.table.ranges} == {"map1"}
+
+
+async def test_a_regained_record_gives_no_authority_to_the_former_role(site):
+    """A former role renewed grants beyond the time that a later leader waits for."""
+    (member,) = site.members
+    authority = member._role._authority
+    assert authority.may_move()
+    await wait_regained(site, await end_lease(site))
+    assert not authority.may_renew()
+    assert not authority.may_move()
+    assert member._role._authority.may_move()
+
+
+async def test_keys_are_served_soon_after_the_record_was_regained(site):
+    """A new term must not leave the keys without a leader for its random delay."""
+    (member,) = site.members
+
+    async def wait_forever():
+        await asyncio.Event().wait()
+
+    member._leadership._let_stronger_lead = wait_forever
+    await wait_regained(site, await end_lease(site))
+    await site.wait_served(2.0)
+
+
+async def test_an_instance_whose_lease_ended_leads_no_more_while_writes_fail(site):
+    (member,) = site.members
+    former = member._role
+
+    async def fail(*_, **__):
+        raise PlatformUnavailableError("cut off; nothing is written")
+
+    write, member._store.write = member._store.write, fail
+    lease = await end_lease(site)
+    await wait_until(lambda: not member._leadership.leading)
+    await wait_until(lambda: member._role is None)
+    member._store.write = write
+    await wait_regained(site, lease)
+    assert member._role is not None
+    assert member._role is not former
+
+
+async def test_an_instance_whose_lease_ended_leads_no_more_beside_an_unreadable_record(
+    site,
+):
+    """It went on with the grants of its former term for 9 s."""
+    (member,) = site.members
+    await end_lease(site)
+    await site.store.put(LEADER_KEY, ["unreadable"])
+    await wait_until(lambda: not member._leadership.leading)
+    await site.store.remove(LEADER_KEY)
+    await wait_until(lambda: member._leadership.leading)
+
+
+def hold_renewals(member):
+    """Let the next renewal wait, and find the lease ended; returns asked, answered."""
+    asked, answered = asyncio.Event(), asyncio.Event()
+
+    async def renew(*_):
+        asked.set()
+        await answered.wait()
+        return False
+
+    member._store.renew_lease = renew
+    return asked, answered
+
+
+async def test_an_instance_that_retires_during_a_renewal_writes_no_record(site):
+    """Nobody could lead until the lease of a record without a leader had ended."""
+    (member,) = site.members
+    asked, answered = hold_renewals(member)
+    await asked.wait()
+    await member._leadership.retire()
+    answered.set()
+    await asyncio.sleep(0.5)
+    assert not member._leadership.leading
+    assert site.store.read(LEADER_KEY) is None
+
+
+async def test_an_instance_that_retires_begins_no_term_after_its_lease_ended(site):
+    """Its successor waited for the lease of a leader that was about to end."""
+    (member,) = site.members
+
+    async def fail(*_, **__):
+        raise PlatformUnavailableError("cut off; nothing is removed")
+
+    member._store.remove = fail
+    asked, answered = hold_renewals(member)
+    await asked.wait()
+    await member._leadership.retire()
+    await end_lease(site)
+    answered.set()
+    await asyncio.sleep(0.5)
+    assert not member._leadership.leading
+    assert site.store.read(LEADER_KEY) is None
