Detach the leader's role before it is closed

What callers saw: nothing that is traced to this.

Cause: the expiry loop lets the instance step down, which waits for the role to close and then dropped whatever role was there. The leadership loop goes on meanwhile and may have begun another term, whose role was the one that was dropped.

Evidence: the new test lets the close of a role wait for one second after a step down.

Why it works: the role that is closed is the one of the term that ended, because it is taken out before the first wait.

--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -225,9 +225,9 @@
         self._port.lead(None)
         self._listener.lead(None)
         self.metrics.leading.set(0)
-        if self._role is not None:
-            await self._role.close()
-            self._role = None
+        role, self._role = self._role, None
+        if role is not None:
+            await role.close()
 
     async def _expire(self) -> float:
         """Forget gone servers; returns the time in seconds to the next look."""
--- a/tests/runtime/fleet/test_leadership.py
+++ b/tests/runtime/fleet/test_leadership.py
@@ -155,3 +155,34 @@
     await asyncio.sleep(0.5)
     assert not member._leadership.leading
     assert site.store.read(LEADER_KEY) is None
+
+
+def hold_close(role):
+    """Let the close of a role wait for the event that is returned."""
+    may_close = asyncio.Event()
+    close = role.close
+
+    async def close_late():
+        await may_close.wait()
+        await close()
+
+    role.close = close_late
+    return may_close
+
+
+async def test_a_role_that_begins_while_the_former_one_closes_is_not_dropped(site):
+    """Nothing closed it, and the leader went on without it."""
+    (member,) = site.members
+    former = member._role
+    may_close = hold_close(former)
+    ending = asyncio.create_task(member._leadership.step_down("test"))
+    await asyncio.sleep(1.0)
+    may_close.set()
+    await ending
+    await wait_until(lambda: member._leadership.leading)
+    role = member._role
+    assert role is not None
+    assert role is not former
+    await site.wait_served(2.0)
+    await member._leadership.step_down("test")
+    assert all(task.done() for task in role._tasks)
