Let the end of a term remove no record but its own

What callers saw: nothing that is traced to this. A leader without a record renews its lease successfully, so it led on for as long as no other instance wrote a record and was heard of: two leaders at a time, against which the lease is meant.

Cause: while a step down waits for its role to close, the leadership loop may write the next record of the same instance. The step down then took that record for its own, because it compared the instance's name.

Evidence: the new test lets the close of a role wait for one second after a step down. On it fails with `'NoneType' object is not subscriptable`: the instance leads and the service has no record. With terms that end the record stays, because it is removed by the revision of the ended term, but the instance forgets it: `'NoneType' object has no attribute 'instance'`. By the code, its later resignation would leave the record to its lease of 2 s.

Why it works: a record is compared by its revision, which no two records share.

--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -355,7 +355,7 @@
         logger.bind(reason=reason).warning("no longer leading the site")
         await self._end()
         leader = self._state.leader
-        if leader is None or leader.instance != self._instance:
+        if leader is None or leader.revision != term.revision:
             return
         self._state.leader = None
         try:
--- a/tests/runtime/fleet/test_leadership.py
+++ b/tests/runtime/fleet/test_leadership.py
@@ -186,3 +186,15 @@
     await site.wait_served(2.0)
     await member._leadership.step_down("test")
     assert all(task.done() for task in role._tasks)
+
+
+async def test_the_end_of_a_term_leaves_the_record_of_the_next_one(site):
+    """It removed the record of the present leader, so that another one could lead."""
+    (member,) = site.members
+    may_close = hold_close(member._role)
+    ending = asyncio.create_task(member._leadership.step_down("test"))
+    await asyncio.sleep(1.0)
+    may_close.set()
+    await ending
+    await wait_until(lambda: member._leadership.leading)
+    assert site.store.read(LEADER_KEY)["instance"] == member._state.leader.instance
