Wait at a stop until the leader's role is closed

What callers saw: nothing that is traced to this. Orders under way outlived the role of a leader that stopped, and requests that waited for a decision were not told.

Cause: a leader that stops in an outage of the key-value service leads on until its record is removed. The leadership loop then closes the role, but the stop was woken up before that, cancelled the loop and so interrupted the close.

Evidence: the new test stops a leader in an outage that ends 1.2 s later, with grants that get no answer. Without the change it fails with `assert all(order.done() for order in orders)`: the tasks that send the grants are still there after the stop.

Change: the stop waits, within the time that it has, until the role is closed. An instance tries to lead again only when its former role is closed.

--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -170,7 +170,9 @@
         self._term: LeaderTerm | None = None
         self._task: asyncio.Task[None] | None = None
         self._retiring = False
+        #: Set while no role of this instance runs or closes.
         self._ended = asyncio.Event()
+        self._ended.set()
 
     @property
     def leading(self) -> bool:
@@ -200,14 +202,20 @@
         await self._hand_over()
 
     async def wait_ended(self, timeout_s: float) -> None:
-        """Wait until this instance does not lead, at most for some seconds."""
-        if not self.leading:
-            return
+        """Wait until this instance leads no more and its role is closed.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+        """
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
                 await self._ended.wait()
         except TimeoutError:
-            logger.warning("stopping as the leader; no other instance could follow")
+            logger.bind(leading=self.leading).warning(
+                "stopping before the leader's role ended"
+            )
 
     async def step_down(self, reason: str) -> None:
         """Cease to lead."""
@@ -262,7 +270,7 @@
             self._state.leader = None
 
     async def _try_to_lead(self, former: LeaderRecord | None) -> None:
-        if self._retiring:
+        if self._retiring or not self._ended.is_set():
             return
         if former is not None:
             # A former leader that lives on after all finds its lease ended.
@@ -351,9 +359,11 @@
     async def _resign(self, reason: str) -> None:
         term, self._term = self._term, None
         term.ended = True
-        self._ended.set()
         logger.bind(reason=reason).warning("no longer leading the site")
-        await self._end()
+        try:
+            await self._end()
+        finally:
+            self._ended.set()
         leader = self._state.leader
         if leader is None or leader.revision != term.revision:
             return
--- a/tests/runtime/fleet/test_leadership.py
+++ b/tests/runtime/fleet/test_leadership.py
@@ -198,3 +198,25 @@
     await ending
     await wait_until(lambda: member._leadership.leading)
     assert site.store.read(LEADER_KEY)["instance"] == member._state.leader.instance
+
+
+async def test_a_stop_that_ends_an_outage_late_cancels_the_orders_under_way(site):
+    """The stop went on as soon as the role began to close, and interrupted that."""
+    (member,) = site.members
+    keeper = member._role._keepers["maps"]
+
+    async def never_answer(*_):
+        await asyncio.Event().wait()
+
+    keeper._call = never_answer
+    await wait_until(lambda: keeper._tasks)
+    orders = list(keeper._tasks)
+    site.store.down = True
+    stop = asyncio.create_task(member.close())
+    await asyncio.sleep(1.2)
+    assert member._leadership.leading
+    site.store.down = False
+    await stop
+    site.members.clear()
+    assert all(order.done() for order in orders)
+    assert not keeper._tasks
