Tell the writes of two leaders' terms apart

Two instances that became leaders at the same time could both reserve the same fences, and neither one's fences shut the other out. Each reads the stored ranges, writes them back with the same bound of fences, and takes a refused write for its own earlier one if the stored value has the bytes that it wrote; both write the same bytes.

The value now carries a random token of the writer's term. The new test, two starts of which both read before either writes, failed before (both succeeded) and passes now.

--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from secrets import token_hex
 from typing import TYPE_CHECKING, Protocol
 from zlib import compress, decompress
 from zlib import error as ZlibError
@@ -69,12 +70,20 @@
     return f"{OWN_PREFIX}ranges/{service}"
 
 
-def encode_ranges(reserved: int, stored: list[StoredRange]) -> bytes:
+def encode_ranges(reserved: int, stored: list[StoredRange], writer: str) -> bytes:
     """Return the value that is stored.
 
     Earlier versions read rows of four entries, so a further field stands beside them.
+
+    Parameters
+    ----------
+    reserved : int
+        Bound of the reserved fences.
+    writer : str
+        Tells the writes of one leader's term from those of others.
     """
     data = {
+        "writer": writer,
         "reserved": reserved,
         "ranges": [[r.first, r.last, r.owner, r.former] for r in stored],
         "reached": [r.first for r in stored if r.former_reached],
@@ -146,6 +155,7 @@
         self._key = get_ranges_key(self.service)
         self._revision = 0
         self._reserved = 0
+        self._writer = token_hex(8)
         self._tasks: set[asyncio.Task[None]] = set()
         self._lives: dict[str, int] = {}
         self.control: RangeControl | None = None
@@ -262,7 +272,7 @@
             self.tick()
 
     async def _save(self, stored: list[StoredRange]) -> None:
-        value = encode_ranges(self._reserved, stored)
+        value = encode_ranges(self._reserved, stored, self._writer)
         try:
             result, revision = await self._store.write(
                 self._key, value, self._revision, "store ranges"
--- a/tests/runtime/fleet/test_range_keeper.py
+++ b/tests/runtime/fleet/test_range_keeper.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+from time import monotonic
+from types import SimpleNamespace
 from zlib import compress, decompress
 
 import pytest
 from orjson import dumps, loads
 
+from basilwick.core.ranges.orders import OwnerTimes
 from basilwick.core.ranges.table import StoredRange
-from basilwick.runtime.fleet.range_keeper import decode_ranges, encode_ranges
+from basilwick.platform.store import Item, WriteResult
+from basilwick.runtime.fleet.range_keeper import (
+    DeposedError,
+    RangeKeeper,
+    decode_ranges,
+    encode_ranges,
+)
 
 STORED = dumps({"reserved": 300, "ranges": [[0, 9, "m0", ""], [10, 65535, "m1", "m0"]]})
 
@@ -33,10 +43,51 @@
         StoredRange(0, 9, "m0", "m1", former_reached=True),
         StoredRange(10, 65535, "m1", "m0", former_reached=False),
     ]
-    assert decode_ranges(encode_ranges(300, stored)) == (300, stored)
+    assert decode_ranges(encode_ranges(300, stored, "term")) == (300, stored)
 
 
 def test_stored_ranges_stay_readable_for_earlier_versions():
     """During an upgrade an instance of either version may lead."""
-    value = encode_ranges(300, [StoredRange(0, 9, "m0", "m1", former_reached=True)])
+    stored = [StoredRange(0, 9, "m0", "m1", former_reached=True)]
+    value = encode_ranges(300, stored, "term")
     assert loads(decompress(value))["ranges"] == [[0, 9, "m0", "m1"]]
+
+
+class RacingStore:
+    """Store whose readers all see a key before any of them writes it."""
+
+    def __init__(self, readers):
+        self.item = None
+        self._all_read = asyncio.Barrier(readers)
+
+    async def get(self, key, cause):
+        item = self.item
+        if cause == "read ranges":
+            await self._all_read.wait()
+        return item
+
+    async def write(self, key, value, revision, cause):
+        if revision != (self.item.revision if self.item else 0):
+            return WriteResult.CONFLICT, 0
+        self.item = Item(key, value, revision + 1)
+        return WriteResult.DONE, revision + 1
+
+
+async def test_two_leaders_never_reserve_the_same_fences():
+    """Each took the other's write for its own, as both wrote the same value."""
+    store = RacingStore(2)
+    keepers = [
+        RangeKeeper(
+            SimpleNamespace(service="maps"),
+            None,
+            store,
+            None,
+            OwnerTimes(),
+            monotonic,
+            None,
+        )
+        for _ in range(2)
+    ]
+    starts = [keeper.start() for keeper in keepers]
+    results = await asyncio.gather(*starts, return_exceptions=True)
+    assert {type(result) for result in results} == {DeposedError, type(None)}
