Count no delay of the leader against a server

Since orders expire, an instance whose loop stalled twice for 0.6 s counted its servers as unreachable and gave their keys away. An order that was not written for lack of time is now a result of its own, which puts the hold back to what it was and repeats the order 0.2 s later without counting a failure.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -22,6 +22,7 @@
 
 from __future__ import annotations
 
+from itertools import count
 from typing import TYPE_CHECKING
 
 from attrs import define, field
@@ -86,7 +87,7 @@
     deposed: bool = False
     _leased: bool = True
     _hand_overs: list[HandOver] = field(factory=list)
-    _numbers: int = 0
+    _numbers: count = field(factory=lambda: count(1))
     _pending: dict[int, PendingOrder] = field(factory=dict)
     _storing: list[KeyRange] | None = None
     _store_end_at: MonotonicSeconds = float("inf")
@@ -94,8 +95,6 @@
     def __attrs_post_init__(self) -> None:
         begin_takeover(self.table, self.times, self.taken_over_at)
 
-    # Decisions
-
     def find_owner(
         self, service: ServiceName, key: int, now: MonotonicSeconds
     ) -> KeyOwner:
@@ -204,12 +203,12 @@
         elif result is OrderResult.CONFLICT:
             self._note_conflict(item, now)
         else:
-            if result is OrderResult.UNSENT:
-                item.held_until = pending.held_before
-            else:
+            if result is OrderResult.LOST:
                 # A higher fence keeps the server from taking this order late.
                 item.fence = 0
-            self._note_lost(item, now)
+            else:
+                item.held_until = pending.held_before
+            self._note_without_effect(item, result, now)
         return item.next_order_at <= now
 
     def note_released(
@@ -225,7 +224,7 @@
             return
         item = pending.item
         if result is not OrderResult.OK:
-            self._note_lost(item, now)
+            self._note_without_effect(item, result, now)
             return
         item.hand_over = hand_over
         self._hand_to_target(item, HandOverReason.RELEASED, now)
@@ -297,7 +296,7 @@
     ) -> GrantOrder:
         item.held_until = max(item.held_until, now + self.times.longest_hold_s)
         return GrantOrder(
-            self._next_number(),
+            next(self._numbers),
             item.owner,
             item.first,
             item.last,
@@ -313,7 +312,7 @@
             self._hand_to_target(item, HandOverReason.HOLD_ENDED, now)
             return None
         return ReleaseOrder(
-            self._next_number(), item.owner, item.first, item.last, item.fence
+            next(self._numbers), item.owner, item.first, item.last, item.fence
         )
 
     def _wait_out(self, item: KeyRange, now: MonotonicSeconds) -> None:
@@ -376,9 +375,14 @@
             self.deposed = True
             item.next_order_at = now + _REPEAT_AFTER_S
 
-    def _note_lost(self, item: KeyRange, now: MonotonicSeconds) -> None:
-        item.failures += 1
+    def _note_without_effect(
+        self, item: KeyRange, result: OrderResult, now: MonotonicSeconds
+    ) -> None:
         item.next_order_at = now + _REPEAT_AFTER_S
+        if result is OrderResult.EXPIRED:
+            # The delay was this instance's, and tells nothing of the server.
+            return
+        item.failures += 1
         if item.failures < _FAILURES_TO_GIVE_UP:
             return
         if item.phase in (Phase.OWNED, Phase.RAISING):
@@ -394,7 +398,3 @@
             return None
         pending.item.pending = 0
         return pending
-
-    def _next_number(self) -> int:
-        self._numbers += 1
-        return self._numbers
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -30,8 +30,10 @@
     CONFLICT = "conflict"
     #: No answer; the order may be carried out later.
     LOST = "lost"
-    #: The order was not sent, because no connection could be opened.
+    #: The order was not sent, because no connection could be had.
     UNSENT = "unsent"
+    #: The order was not sent, because its time had passed before it could be.
+    EXPIRED = "expired"
 
 
 @frozen
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from orjson import JSONDecodeError, dumps, loads
 
+from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.control import RangeControl
 from basilwick.core.ranges.orders import (
@@ -349,7 +350,11 @@
         wait_s = self._times.order_timeout_s
         if isinstance(order, ReleaseOrder):
             wait_s = _RELEASE_TIMEOUT_S
-        left_s = decided_at + wait_s - self._clock()
+        now = self._clock()
+        if now >= expires_at:
+            detail = "the order's time passed before it was sent"
+            return SendFailure(SendOutcome.WITHDRAWN, False, detail)
+        left_s = decided_at + wait_s - now
         answer = await self._client.send(address, request, left_s, _ORDER_CONNECTIONS)
         if isinstance(answer, ServerAnswer) and isinstance(answer.body, AnswerStream):
             answer.body.close()
@@ -376,8 +381,10 @@
     if answer is None:
         return OrderResult.UNSENT, None
     if isinstance(answer, SendFailure):
-        sent = answer.may_have_run
-        return (OrderResult.LOST if sent else OrderResult.UNSENT), None
+        if answer.may_have_run:
+            return OrderResult.LOST, None
+        expired = answer.outcome is SendOutcome.WITHDRAWN
+        return (OrderResult.EXPIRED if expired else OrderResult.UNSENT), None
     if answer.status == 200:
         return OrderResult.OK, answer.marks.hand_over
     if answer.status == 409:
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -214,7 +214,7 @@
         # Nothing may be awaited between this check and the write.
         if attempt.sent_at >= request.expires_at:
             detail = "the request expired before it was written"
-            return SendFailure(SendOutcome.UNREACHABLE, False, detail)
+            return SendFailure(SendOutcome.WITHDRAWN, False, detail)
         attempt.wrote = True
         connection.write_head(data, request.method == "HEAD")
         if whole:
