Let the kernel end connections whose orders a server doesn't take

A leader whose process is stopped (not its machine) can reset nothing. Its kernel goes on sending an order that a partition holds up, and delivers it when the partition heals, however late; timeouts in the process don't run.

Connections that carry orders now have TCP_USER_TIMEOUT set to the time that other leaders allow for an order's arrival. The new test stops the process for 1.5 s beside a peer that takes no byte; it failed before (the peer read on until the test's timeout) and sees a reset now.

--- a/basilwick/runtime/fleet/member.py
+++ b/basilwick/runtime/fleet/member.py
@@ -76,6 +76,9 @@
     def __init__(self, deployment: Deployment):
         self._deployment = deployment
         bounds = deployment.bounds
+        self._times = OwnerTimes()
+        if bounds.longest_hold_s < self._times.hold_s:
+            self._times = OwnerTimes(hold_s=bounds.longest_hold_s)
         rng = Random()
         self.metrics = FleetMetrics()
         self._view = SiteView()
@@ -83,7 +86,9 @@
         self._store = Store(deployment.platform_address, self.metrics.registry)
         self._client = ServerClient(read_clock, read_answer_marks)
         # Answers to orders have no identity, so no request shares their connections.
-        self._orders = ServerClient(read_clock, read_answer_marks)
+        self._orders = ServerClient(
+            read_clock, read_answer_marks, self._times.order_timeout_s
+        )
         hello = Hello(deployment.instance, deployment.data_centre, deployment.cores)
         self._listener = LinkListener(deployment.link_address, hello)
         self._link = LeaderLink(hello, read_clock)
@@ -116,9 +121,6 @@
             self.metrics,
             deployment.data_centre,
         )
-        self._times = OwnerTimes()
-        if bounds.longest_hold_s < self._times.hold_s:
-            self._times = OwnerTimes(hold_s=bounds.longest_hold_s)
         self._leadership = Leadership(
             deployment.instance,
             deployment.link_address,
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from itertools import count
-from socket import SO_LINGER, SOL_SOCKET
+from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
 from struct import pack
 from typing import TYPE_CHECKING
 
@@ -64,6 +64,11 @@
         sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
         super().connection_made(transport)
 
+    def limit_unacknowledged(self, limit_s: float) -> None:
+        """Let the kernel end the connection when the peer takes no byte for so long."""
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, round(limit_s * 1000))
+
     def data_received(self, data: bytes) -> None:
         """Note the time of arrival and parse.
 
--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -41,13 +41,23 @@
         Largest number of open connections.
     clock : callable
         Local monotonic clock in seconds.
+    unacknowledged_s : float, optional
+        Time in seconds after which the kernel gives a connection up whose bytes the
+        peer doesn't take, even if this process doesn't run.
     """
 
-    def __init__(self, address: str, bound: int, clock: Callable[[], MonotonicSeconds]):
+    def __init__(
+        self,
+        address: str,
+        bound: int,
+        clock: Callable[[], MonotonicSeconds],
+        unacknowledged_s: float | None = None,
+    ):
         host, _, port = address.rpartition(":")
         self._host, self._port = host.strip("[]"), int(port)
         self.bound = bound
         self._clock = clock
+        self._unacknowledged_s = unacknowledged_s
         self._loop = asyncio.get_running_loop()
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
@@ -197,6 +207,8 @@
         if self._closed:
             connection.abort_transport()
             raise PoolClosedError("the pool was closed while a connection was opened")
+        if self._unacknowledged_s is not None:
+            connection.limit_unacknowledged(self._unacknowledged_s)
         connection.received_at = self._clock()
         self._open.add(connection)
         return connection
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -138,10 +138,14 @@
         Local monotonic clock in seconds.
     read_marks : callable
         Reads the marks of an answer from its header fields.
+    unacknowledged_s : float, optional
+        Time in seconds after which the kernel gives a connection up whose bytes the
+        server doesn't take.
     """
 
     _clock: Callable[[], MonotonicSeconds]
     _read_marks: Callable[[Iterable[tuple[bytes, bytes]]], AnswerMarks]
+    _unacknowledged_s: float | None = None
     _pools: dict[str, ConnectionPool] = field(factory=dict)
 
     async def close(self) -> None:
@@ -192,7 +196,9 @@
     def _get_pool(self, address: str, max_connections: int) -> ConnectionPool:
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address, max_connections, self._clock)
+            pool = ConnectionPool(
+                address, max_connections, self._clock, self._unacknowledged_s
+            )
             self._pools[address] = pool
         pool.bound = max_connections
         return pool
--- a/tests/transport/test_connection_resets.py
+++ b/tests/transport/test_connection_resets.py
@@ -6,7 +6,7 @@
 import os
 from socket import SHUT_WR, SO_LINGER, SO_RCVBUF, SOL_SOCKET, socket
 from struct import unpack
-from time import monotonic
+from time import monotonic, sleep
 
 import pytest
 import pytest_asyncio
@@ -85,6 +85,17 @@
     assert await peer.read_end() == "reset"
 
 
+async def test_the_kernel_ends_a_connection_that_a_stopped_process_left_behind(peer):
+    """A stopped leader's order was delivered when a partition healed."""
+    pool = ConnectionPool(peer.address, 2, monotonic, unacknowledged_s=0.3)
+    connection = await pool.acquire()
+    await peer.accept()
+    connection.write_head(HEAD + HELD, False)
+    # The process does nothing while the peer takes no byte.
+    sleep(1.5)
+    assert await peer.read_end() == "reset"
+
+
 async def test_a_new_connection_resets_on_close(peer):
     pool = ConnectionPool(peer.address, 2, monotonic)
     connection = await pool.open_new()
