--- a/tests/runtime/fleet/fleet_site.py
+++ b/tests/runtime/fleet/fleet_site.py
@@ -31,6 +31,13 @@
     return ports
 
 
+async def wait_until(condition, timeout_s=8.0):
+    """Wait until a condition holds; fails after some seconds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
 def make_configuration(version, **changes):
     """Return a configuration as operators write it."""
     route = {
