Test stored moves against a leader that reaches no server but theirs

Since a leader without its lease stops at the first later fence, the tests of the holds of stored moves passed without those holds: the other servers told the earlier leader of the later one. These tests fail when target_held_until or the hold of a former owner that was not reached is shortened to the lease, and pass on the present code.

--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -153,6 +153,48 @@
     assert model.find_owner(0) not in (None, name)
 
 
+def leave_only(model, leader, name):
+    """Cut a leader off with one server, so that no other one tells it of fences."""
+    leader.contact = False
+    leader.unreached = set(model.servers) - {name}
+
+
+@pytest.mark.parametrize("registered", [True, False])
+def test_a_completed_move_leaves_its_owner_the_keys_in_a_cut_off_data_centre(
+    model, registered
+):
+    """The earlier leader reaches only the new owner, and learns of no later fence."""
+    former = model.holder
+    complete_move(model, 0, "s2")
+    leave_only(model, former, "s2")
+    model.servers["s2"].in_use = registered
+    model.advance(model.times.lease_s)
+    model.take_over()
+    model.holder.unreached.add("s2")
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert not former.control.deposed
+    assert model.find_owner(0) not in (None, "s2")
+
+
+def test_a_former_owner_that_only_the_first_leader_reaches_is_waited_for(model):
+    """The third leader relied on the second one, which had not reached it either."""
+    former = model.holder
+    name = model.find_owner(0)
+    leave_only(model, former, name)
+    model.advance(model.times.lease_s)
+    model.take_over()
+    second = model.holder
+    second.unreached.add(name)
+    follow_partition(model, former, 1.5)
+    assert model.stored[0].former == name
+    second.alive = False
+    model.take_over()
+    model.holder.unreached.add(name)
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert not former.control.deposed
+    assert model.find_owner(0) not in (None, name)
+
+
 def test_a_stored_move_waits_for_the_holds_of_the_former_leader(model):
     """The next leader can't know which of two servers holds the block."""
     model.move(model.holder, 0, "s2")
