Add a failing test: an own late write deposes the leader

A write of the ranges that got no answer may take effect seconds later. If the ownership changed before it is repeated, the leader finds a value that differs from its newest one, takes it for another leader's and steps down, although its writer token stands in it.

--- a/tests/runtime/fleet/test_range_keeper.py
+++ b/tests/runtime/fleet/test_range_keeper.py
@@ -10,6 +10,7 @@
 import pytest
 from orjson import dumps, loads
 
+from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.orders import OwnerTimes
 from basilwick.core.ranges.table import StoredRange
 from basilwick.platform.store import Item, WriteResult
@@ -91,3 +92,53 @@
     starts = [keeper.start() for keeper in keepers]
     results = await asyncio.gather(*starts, return_exceptions=True)
     assert {type(result) for result in results} == {DeposedError, type(None)}
+
+
+class LateStore:
+    """Store that carries the first write after the start out late, without answer."""
+
+    def __init__(self):
+        self.item = None
+        self.late = None
+        self.lose_next = False
+
+    async def get(self, key, cause):
+        return self.item
+
+    async def write(self, key, value, revision, cause):
+        if self.lose_next:
+            self.lose_next = False
+            self.late = value, revision
+            raise PlatformUnavailableError("no answer")
+        if revision != (self.item.revision if self.item else 0):
+            return WriteResult.CONFLICT, 0
+        self.item = Item(key, value, revision + 1)
+        return WriteResult.DONE, revision + 1
+
+    def apply_late(self):
+        value, revision = self.late
+        assert revision == self.item.revision
+        self.item = Item(self.item.key, value, revision + 1)
+
+
+async def test_an_own_write_that_took_effect_late_deposes_nobody():
+    """The leader took its own earlier write for that of another leader."""
+    store = LateStore()
+    keeper = RangeKeeper(
+        SimpleNamespace(service="maps"),
+        None,
+        store,
+        None,
+        OwnerTimes(),
+        monotonic,
+        None,
+    )
+    await keeper.start()
+    store.lose_next = True
+    with pytest.raises(PlatformUnavailableError):
+        await keeper._save([StoredRange(0, 65535, "m0")])
+    store.apply_late()
+    # Keys began to move before the write was repeated.
+    await keeper._save([StoredRange(0, 65535, "m1", "m0")])
+    _, stored = decode_ranges(store.item.value)
+    assert stored == [StoredRange(0, 65535, "m1", "m0")]
