Add a failing test: a leader without authority takes over a service

LeadRole looks for services without a keeper whatever its term permits. A leader whose lease has ended reads and writes the ranges as soon as the key-value service answers it again, and so deposes the leader that holds them by now.

--- a/tests/runtime/fleet/test_leadership.py
+++ b/tests/runtime/fleet/test_leadership.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest_asyncio
-from fleet_site import FleetSite
+from fleet_site import FleetSite, make_configuration
 
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.runtime.fleet.range_keeper import get_ranges_key
@@ -220,3 +220,19 @@
     site.members.clear()
     assert all(order.done() for order in orders)
     assert not keeper._tasks
+
+
+async def test_a_leader_whose_lease_may_have_ended_takes_over_no_service(site):
+    """Its write deposed the leader that had taken the service over meanwhile."""
+    (member,) = site.members
+    asked, _ = hold_renewals(member)
+    await asked.wait()
+    member._role._authority.confirmed_at = float("-inf")
+    changed = make_configuration(2)
+    for resource in changed["resources"]:
+        if resource["metadata"].get("name") == "desk":
+            resource["specification"]["sharded"] = True
+    await site.store.put("op/config", changed)
+    await wait_until(lambda: member._view.configuration.version == 2)
+    await asyncio.sleep(0.5)
+    assert await member._store.get(get_ranges_key("desk"), "test") is None
