Add a failing test: a wait for a kept connection loses a wake-up

A release wakes one waiter. acquire_kept gives up or goes on waiting without passing the wake-up on, so a waiter that may open a connection is left until its time-out.

--- a/tests/transport/test_connection_resets.py
+++ b/tests/transport/test_connection_resets.py
@@ -12,7 +12,11 @@
 import pytest_asyncio
 
 from basilwick.platform.backends import read_answer_marks
-from basilwick.transport.connection_pool import ConnectionPool, PoolClosedError
+from basilwick.transport.connection_pool import (
+    ConnectionPool,
+    NoKeptConnectionError,
+    PoolClosedError,
+)
 from basilwick.transport.server_client import SendFailure, ServerClient, ServerRequest
 
 HEAD = b"POST /grant HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
@@ -263,3 +267,19 @@
     assert pool.open == 0
     assert await asyncio.wait_for(ends.get(), 2) == b""
     server.close()
+
+
+async def test_a_wait_for_a_kept_connection_does_not_hold_up_one_for_any(peer):
+    """It took the only wake-up, and the other wait ran into its time-out."""
+    pool = ConnectionPool(peer.address, 1, monotonic)
+    connection = await pool.acquire()
+    kept = asyncio.create_task(pool.acquire_kept())
+    await asyncio.sleep(0)
+    any_ = asyncio.create_task(pool.acquire())
+    await asyncio.sleep(0)
+    pool.release(connection, reusable=False)
+    with pytest.raises(NoKeptConnectionError):
+        await kept
+    opened = await asyncio.wait_for(any_, 1.0)
+    assert opened is not connection
+    pool.close()
