Add a failing test: a closed connection ends renewals without the lease

Servers close connections now and then, and time-outs close all idle ones of an address. Without the lease no other one is opened, so the keys of a live server lapse for the rest of the 9 s.

--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -277,3 +277,17 @@
     assert site.range.confirmed
     (pool,) = site.client._pools.values()
     assert pool.open == 0
+
+
+async def test_a_server_that_closes_a_connection_is_renewed_without_the_lease(site):
+    """One answer with `Connection: close` ended the renewals of a live server."""
+    site.keeper.tick()
+    await site.finish()
+    site.authority.leased = False
+    site.answer = OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
+    for _ in range(2):
+        site.clock.now += site.times.renewal_s
+        site.keeper.tick()
+        await site.finish()
+        site.answer = OK
+    assert site.received == [b"/grant"] * 3
