Add a failing test: keys that a server holds are withheld

Two orders without a kept connection count as failures of the server, the range expires, and no request is sent for the two seconds for which the grant is still in force. Once the lease is back, the keys go to another server.

--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -291,3 +291,20 @@
         await site.finish()
         site.answer = OK
     assert site.received == [b"/grant"] * 3
+
+
+async def test_keys_without_a_kept_connection_are_served_until_their_grant_ends(site):
+    """Two orders that could not be sent withheld keys that the server still held."""
+    site.keeper.tick()
+    await site.finish()
+    site.authority.leased = False
+    site.client.forget(site.keeper._view.get_server("s0").address)
+    site.clock.now += site.times.renewal_s
+    for _ in range(2):
+        site.keeper.tick()
+        await site.finish()
+        site.clock.now += 0.25
+    assert site.received == [b"/grant"]
+    assert site.range.serving_until > site.clock.now + 1.0
+    owner = site.keeper.control.find_owner("maps", 0, site.clock.now)
+    assert owner.server == "s0"
