Add a failing test: used-up fences end all orders of a service

A term reserves 100,000 fences once. When they are used up, one range that needs a fence raises in each tick, and no range of the service is renewed while the leader keeps its lease. Orders that the same tick had decided stay pending for ever.

--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -442,6 +442,16 @@
     assert not [order for order in grants if order.server == "s2" and not order.first]
 
 
+def test_renewals_go_on_when_the_reserved_fences_are_used_up(model):
+    """One range that needed a fence ended the orders of all ranges of the service."""
+    control = model.holder.control
+    control.fences.end = control.fences.following
+    model.move(model.holder, 0, "s2")
+    model.run(model.times.longest_hold_s)
+    assert None not in [model.find_owner(block) for block in range(2, BLOCKS)]
+
+
+
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
