Add a failing test: an order with the lease is written after its end

The lease's margin is 0.3 s, but an order may be written 0.6 s after its decision and may open a connection. If the next leader moves the keys and the former owner starts anew in between, the new process takes them with the lower fence.

--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -451,6 +451,31 @@
     assert None not in [model.find_owner(block) for block in range(2, BLOCKS)]
 
 
+def test_an_order_decided_with_the_lease_reaches_no_process_after_its_end(model):
+    """It may be written 0.6 s after its decision, but the lease's margin is 0.3 s."""
+    former = model.holder
+    name = model.find_owner(0)
+    model.advance(1.6)
+    model.tick(former)
+    (renewal,) = [f for f in model.flights if f.order.first == 0]
+    assert not renewal.order.same_process
+    model.advance(0.36)
+    model.take_over()
+    assert model.holder is not former
+    model.move(model.holder, 0, "s2")
+    for _ in range(8):
+        model.tick(model.holder)
+        model.move(model.holder, 0, "s2")
+        model.store(model.holder)
+        for flight in list(model.flights):
+            if flight.leader is not former:
+                model.deliver(flight)
+    assert model.find_owner(0) == "s2"
+    model.servers[name].restart()
+    assert model.now < renewal.sent_at + model.times.order_timeout_s
+    model.deliver(renewal)
+    model.check()
+
 
 ACTIONS = st.lists(
     st.tuples(
