Add a failing test: a renewal that a move overtook reaches a new process

A renewal that waits for its connection stays sendable for 0.6 s after the range was raised and released. If the former owner starts anew in that time, the new process takes the renewal with its lower fence.

--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -477,6 +477,25 @@
     model.check()
 
 
+def test_a_renewal_that_a_move_overtook_reaches_no_later_process(model):
+    """It still waited for its connection when the range had been released."""
+    name = model.find_owner(0)
+    model.advance(model.times.renewal_s)
+    model.move(model.holder, 0, "s2")
+    model.tick(model.holder)
+    (renewal,) = [f for f in model.flights if f.order.first == 0]
+    model.store(model.holder)
+    for _ in range(4):
+        model.tick(model.holder)
+        for flight in list(model.flights):
+            if flight is not renewal:
+                model.deliver(flight)
+    assert model.find_owner(0) == "s2"
+    model.servers[name].restart()
+    model.deliver(renewal)
+    model.check()
+
+
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
