--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -153,6 +153,48 @@
     assert model.find_owner(0) not in (None, name)
 
 
+def leave_only(model, leader, name):
+    """Cut a leader off with one server, so that no other one tells it of fences."""
+    leader.contact = False
+    leader.unreached = set(model.servers) - {name}
+
+
+@pytest.mark.parametrize("registered", [True, False])
+def test_a_completed_move_leaves_its_owner_the_keys_in_a_cut_off_data_centre(
+    model, registered
+):
+    """The earlier leader reaches only the new owner, and learns of no later fence."""
+    former = model.holder
+    complete_move(model, 0, "s2")
+    leave_only(model, former, "s2")
+    model.servers["s2"].in_use = registered
+    model.advance(model.times.lease_s)
+    model.take_over()
+    model.holder.unreached.add("s2")
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert not former.control.deposed
+    assert model.find_owner(0) not in (None, "s2")
+
+
+def test_a_former_owner_that_only_the_first_leader_reaches_is_waited_for(model):
+    """The third leader relied on the second one, which had not reached it either."""
+    former = model.holder
+    name = model.find_owner(0)
+    leave_only(model, former, name)
+    model.advance(model.times.lease_s)
+    model.take_over()
+    second = model.holder
+    second.unreached.add(name)
+    follow_partition(model, former, 1.5)
+    assert model.stored[0].former == name
+    second.alive = False
+    model.take_over()
+    model.holder.unreached.add(name)
+    follow_partition(model, former, model.times.autonomy_s + 6.0)
+    assert not former.control.deposed
+    assert model.find_owner(0) not in (None, name)
+
+
 def test_a_stored_move_waits_for_the_holds_of_the_former_leader(model):
     """The next leader can't know which of two servers holds the block."""
     model.move(model.holder, 0, "s2")
@@ -400,6 +442,60 @@
     assert not [order for order in grants if order.server == "s2" and not order.first]
 
 
+def test_renewals_go_on_when_the_reserved_fences_are_used_up(model):
+    """One range that needed a fence ended the orders of all ranges of the service."""
+    control = model.holder.control
+    control.fences.end = control.fences.following
+    model.move(model.holder, 0, "s2")
+    model.run(model.times.longest_hold_s)
+    assert None not in [model.find_owner(block) for block in range(2, BLOCKS)]
+
+
+def test_an_order_decided_with_the_lease_reaches_no_process_after_its_end(model):
+    """It may be written 0.6 s after its decision, but the lease's margin is 0.3 s."""
+    former = model.holder
+    name = model.find_owner(0)
+    model.advance(1.6)
+    model.tick(former)
+    (renewal,) = [f for f in model.flights if f.order.first == 0]
+    assert not renewal.order.same_process
+    model.advance(0.36)
+    model.take_over()
+    assert model.holder is not former
+    model.move(model.holder, 0, "s2")
+    for _ in range(8):
+        model.tick(model.holder)
+        model.move(model.holder, 0, "s2")
+        model.store(model.holder)
+        for flight in list(model.flights):
+            if flight.leader is not former:
+                model.deliver(flight)
+    assert model.find_owner(0) == "s2"
+    model.servers[name].restart()
+    assert model.now < renewal.sent_at + model.times.order_timeout_s
+    model.deliver(renewal)
+    model.check()
+
+
+def test_a_renewal_that_a_move_overtook_reaches_no_later_process(model):
+    """It still waited for its connection when the range had been released."""
+    name = model.find_owner(0)
+    model.advance(model.times.renewal_s)
+    model.move(model.holder, 0, "s2")
+    model.tick(model.holder)
+    (renewal,) = [f for f in model.flights if f.order.first == 0]
+    model.store(model.holder)
+    for _ in range(4):
+        model.tick(model.holder)
+        for flight in list(model.flights):
+            if flight is not renewal:
+                model.deliver(flight)
+    assert model.find_owner(0) == "s2"
+    model.servers[name].restart()
+    model.deliver(renewal)
+    model.check()
+
+
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -277,3 +277,34 @@
     assert site.range.confirmed
     (pool,) = site.client._pools.values()
     assert pool.open == 0
+
+
+async def test_a_server_that_closes_a_connection_is_renewed_without_the_lease(site):
+    """One answer with `Connection: close` ended the renewals of a live server."""
+    site.keeper.tick()
+    await site.finish()
+    site.authority.leased = False
+    site.answer = OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n")
+    for _ in range(2):
+        site.clock.now += site.times.renewal_s
+        site.keeper.tick()
+        await site.finish()
+        site.answer = OK
+    assert site.received == [b"/grant"] * 3
+
+
+async def test_keys_without_a_kept_connection_are_served_until_their_grant_ends(site):
+    """Two orders that could not be sent withheld keys that the server still held."""
+    site.keeper.tick()
+    await site.finish()
+    site.authority.leased = False
+    site.client.forget(site.keeper._view.get_server("s0").address)
+    site.clock.now += site.times.renewal_s
+    for _ in range(2):
+        site.keeper.tick()
+        await site.finish()
+        site.clock.now += 0.25
+    assert site.received == [b"/grant"]
+    assert site.range.serving_until > site.clock.now + 1.0
+    owner = site.keeper.control.find_owner("maps", 0, site.clock.now)
+    assert owner.server == "s0"
