Keep a leader without its lease in touch with servers that close connections

Since renewals without the lease go only on kept connections, one answer with 'Connection: close', or one time-out, could leave a live server without renewals for the rest of the 9 s, and two orders that found no connection withheld keys for the 2 s for which their grant was still in force. A wait for a kept connection could also take the wake-up of another wait.

A connection that the server closes after an answer is replaced at once, while the process that answered is surely the one that listens. A renewal that finds no kept connection is tried again 0.2 s later and counts as no failure of the server; the keys are served while their grant lasts. Nothing waits for a kept connection any more.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -208,7 +208,11 @@
                 item.fence = 0
             else:
                 item.held_until = pending.held_before
-            self._note_without_effect(item, result, now)
+            # Without the lease the server may be well though no connection is kept.
+            unsent = result is OrderResult.UNSENT and order.same_process
+            self._note_without_effect(
+                item, OrderResult.EXPIRED if unsent else result, now
+            )
         return item.next_order_at <= now
 
     def note_released(
--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -20,6 +20,8 @@
 #: Idle connections are not used after this time, before common server limits of 15 s
 #: close them under a request.
 _IDLE_LIMIT_S = 12.0
+#: Time in seconds within which no process ends and another one listens at its address.
+_REPLACED_WITHIN_S = 0.05
 
 
 class PoolClosedError(ConnectionError):
@@ -91,7 +93,14 @@
                 return connection
             if len(self._open) + self._opening < self.bound:
                 return await self._connect()
-            await self._wait_for_release()
+            waiter = self._loop.create_future()
+            self._waiters.append(waiter)
+            try:
+                await waiter
+            except asyncio.CancelledError:
+                if waiter.done() and not waiter.cancelled():
+                    self._wake_one()
+                raise
 
     async def acquire_kept(self, idle_limit_s: float = _IDLE_LIMIT_S) -> HttpConnection:
         """Return a connection that carried an earlier request; opens none.
@@ -99,25 +108,23 @@
         Raises
         ------
         OSError
-            If no connection is open.
+            If none is unused.
         """
-        while self._open and not self._closed:
-            connection = self._take_idle(idle_limit_s)
-            if connection is not None:
-                return connection
-            if self._open:
-                await self._wait_for_release()
-        raise NoKeptConnectionError("no connection to this address is open")
+        connection = None if self._closed else self._take_idle(idle_limit_s)
+        if connection is None:
+            raise NoKeptConnectionError("no kept connection is unused")
+        return connection
 
-    async def _wait_for_release(self) -> None:
-        waiter = self._loop.create_future()
-        self._waiters.append(waiter)
-        try:
-            await waiter
-        except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled():
-                self._wake_one()
-            raise
+    async def replace(self, connection: HttpConnection) -> None:
+        """Open a connection in place of one that its peer closes after an answer.
+
+        The peer's process was alive just now, so the new connection reaches it too. If
+        it takes too long to open, it is not kept.
+        """
+        received_at = connection.received_at
+        successor = await self.open_new()
+        fresh = self._clock() - received_at < _REPLACED_WITHIN_S
+        self.release(successor, reusable=fresh)
 
     async def open_new(self) -> HttpConnection:
         """Return a connection that carried no request, beyond the bound if need be.
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -230,7 +230,10 @@
             if isinstance(sent, SendFailure):
                 return sent
             message, payload = sent
-        return await self._read_answer(pool, attempt, request, message, payload)
+        answer = await self._read_answer(pool, attempt, request, message, payload)
+        if request.kept and not connection.usable:
+            await _replace(pool, connection)
+        return answer
 
     async def _read_own_head(
         self, connection: HttpConnection, request: ServerRequest
@@ -303,6 +306,15 @@
         return ServerAnswer(message.code, fields, body, length, marks, latency_s)
 
 
+async def _replace(pool: ConnectionPool, connection: HttpConnection) -> None:
+    try:
+        await pool.replace(connection)
+    except LOST as error:
+        logger.bind(reason=repr(error)).info(
+            "no connection in place of one that the server closed"
+        )
+
+
 def _says_not_run(status: int, marks: AnswerMarks) -> bool:
     return marks.not_run or status == _MISDIRECTED
 
