Write an order only while it is wanted and permitted

An order that waits for its connection could be written after its range had moved on, or up to 0.3 s after the lease under which it was decided. If the server started anew in that time, its new process took the keys with a fence below that of their new owner: the form of the users' record.

The check directly before the write now asks whether the order is still the pending one of its range, whether its time has not passed, and, unless it goes to a process reached before, whether the lease has not ended. The model drops such orders too.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -157,6 +157,11 @@
                 orders.append(order)
         return orders
 
+    def is_pending(self, order: Order) -> bool:
+        """Return whether an order is still wanted: its range has not moved on."""
+        pending = self._pending.get(order.number)
+        return pending is not None and pending.item.pending == order.number
+
     def take_unstored(self) -> list[StoredRange] | None:
         """Return the ownership to store, None if it is stored or being stored."""
         if not self.unstored or self._storing is not None:
--- a/basilwick/runtime/fleet/leader_term.py
+++ b/basilwick/runtime/fleet/leader_term.py
@@ -49,6 +49,11 @@
         age_s = self._clock() - self.confirmed_at
         return not self.ended and age_s < self._times.lease_s - _LEASE_MARGIN_S
 
+    def has_lease(self) -> bool:
+        """Return whether the lease has not ended, without a margin for delays."""
+        age_s = self._clock() - self.confirmed_at
+        return not self.ended and age_s < self._times.lease_s
+
     def may_renew(self) -> bool:
         """Return whether settled ranges may still be renewed."""
         age_s = self._clock() - self.confirmed_at
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from secrets import token_hex
 from typing import TYPE_CHECKING, Protocol
 from zlib import compress, decompress
@@ -120,6 +121,9 @@
     def may_move(self) -> bool:
         """Return whether the lease is surely in force."""
 
+    def has_lease(self) -> bool:
+        """Return whether the lease has not ended, without a margin for delays."""
+
     def may_renew(self) -> bool:
         """Return whether settled ranges may still be renewed."""
 
@@ -343,23 +347,28 @@
     async def _call(
         self, order: Order, address: str, decided_at: MonotonicSeconds
     ) -> object:
-        request = encode_order(order, address)
-        # Other leaders allow every order this time to arrive, releases too.
-        expires_at = decided_at + self._times.order_timeout_s
-        request = evolve(request, expires_at=expires_at)
+        may_write = partial(self._may_write, order, decided_at)
+        if not may_write():
+            detail = "the order was withdrawn before it was sent"
+            return SendFailure(SendOutcome.WITHDRAWN, False, detail)
+        request = evolve(encode_order(order, address), may_write=may_write)
         wait_s = self._times.order_timeout_s
         if isinstance(order, ReleaseOrder):
             wait_s = _RELEASE_TIMEOUT_S
-        now = self._clock()
-        if now >= expires_at:
-            detail = "the order's time passed before it was sent"
-            return SendFailure(SendOutcome.WITHDRAWN, False, detail)
-        left_s = decided_at + wait_s - now
+        left_s = decided_at + wait_s - self._clock()
         answer = await self._client.send(address, request, left_s, _ORDER_CONNECTIONS)
         if isinstance(answer, ServerAnswer) and isinstance(answer.body, AnswerStream):
             answer.body.close()
         return answer
 
+    def _may_write(self, order: Order, decided_at: MonotonicSeconds) -> bool:
+        """Return whether an order may still be written."""
+        # Other leaders allow every order this time to arrive, releases too.
+        in_time = self._clock() < decided_at + self._times.order_timeout_s
+        lease_free = isinstance(order, GrantOrder) and order.same_process
+        permitted = lease_free or self._authority.has_lease()
+        return in_time and permitted and self.control.is_pending(order)
+
 
 def encode_order(order: Order, address: str) -> ServerRequest:
     """Return the request that carries an order."""
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -68,9 +68,9 @@
     kept : bool
         Whether it goes only on a connection that carried an earlier request, so that it
         reaches no process that started since.
-    expires_at : float
-        Local time from which it must not be written any more; it then counts as not
-        sent.
+    may_write : callable
+        Called immediately before the write; if it returns False, the request is not
+        written and counts as withdrawn.
     """
 
     method: str
@@ -81,7 +81,7 @@
     chunked: bool = False
     exclusive: bool = False
     kept: bool = False
-    expires_at: MonotonicSeconds = float("inf")
+    may_write: Callable[[], bool] = lambda: True
 
 
 @frozen
@@ -218,8 +218,8 @@
         data = request.head + request.body if whole else request.head
         attempt.sent_at = self._clock()
         # Nothing may be awaited between this check and the write.
-        if attempt.sent_at >= request.expires_at:
-            detail = "the request expired before it was written"
+        if not request.may_write():
+            detail = "the request was withdrawn before it was written"
             return SendFailure(SendOutcome.WITHDRAWN, False, detail)
         attempt.wrote = True
         connection.write_head(data, request.method == "HEAD")
--- a/tests/core/ranges/ownership_model.py
+++ b/tests/core/ranges/ownership_model.py
@@ -87,6 +87,12 @@
     #: Starts of each server that this leader knows.
     starts: dict[str, int] = field(factory=dict)
 
+    def may_write(self, order, lease_s, now):
+        """Return whether an order may still be written, as the runtime decides it."""
+        lease_free = isinstance(order, GrantOrder) and order.same_process
+        in_lease = now < self.confirmed_at + lease_s
+        return (lease_free or in_lease) and self.control.is_pending(order)
+
     def connect(self, server, order):
         """Return whether a connection that an order may use can be had."""
         if server.name in self.unreached:
@@ -215,8 +221,7 @@
         """Bring an order to its server, and perhaps the answer back."""
         self.flights.remove(flight)
         server = self.servers[flight.order.server]
-        if not flight.leader.connect(server, flight.order):
-            self.answer(flight, OrderResult.UNSENT)
+        if self.drop(flight, server):
             return
         result = OrderResult.LOST
         if server.reachable:
@@ -225,12 +230,22 @@
             result = OrderResult.LOST
         self.answer(flight, result)
 
+    def drop(self, flight, server):
+        """Answer an order that is not written; returns whether it is not."""
+        leader, order = flight.leader, flight.order
+        if not leader.may_write(order, self.times.lease_s, self.now):
+            self.answer(flight, OrderResult.EXPIRED)
+            return True
+        if not leader.connect(server, order):
+            self.answer(flight, OrderResult.UNSENT)
+            return True
+        return False
+
     def delay(self, flight):
         """Leave an order unanswered; it is carried out later."""
         self.flights.remove(flight)
         server = self.servers[flight.order.server]
-        if not flight.leader.connect(server, flight.order):
-            self.answer(flight, OrderResult.UNSENT)
+        if self.drop(flight, server):
             return
         self.late.append(flight)
         # Its connection is reset, so that it can't reach a process that starts later.
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -42,6 +42,9 @@
     def may_renew(self):
         return True
 
+    def has_lease(self):
+        return self.leased
+
     def may_move(self):
         self.clock.now += self.freeze_s
         return self.leased
