Reserve more fences in a long term

A leader reserved 100,000 fences once. When they were used up, each look at the orders raised an error at the first range that needed a fence, so that no range of the service was renewed, while the leader kept its lease. At some 60 fences a second, as in the users' record, that is after half an hour. Found by the review; its test failed before.

When half of the fences are used, the next write of the ranges reserves as many more, and they are used once the write is done. Until then a range that needs a fence waits, and the others are renewed.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -258,10 +258,9 @@
             return None
         if item.phase is Phase.RELEASING:
             return self._order_release(item, now)
-        if item.phase is Phase.RAISING:
-            item.fence = self.fences.take()
-            return self._order_grant(item, self.times.hold_s, now)
-        if not item.fence:
+        if item.phase is Phase.RAISING or not item.fence:
+            if not self.fences.left:
+                return None
             item.fence = self.fences.take()
         return self._order_grant(item, self.times.hold_s, now)
 
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -95,6 +95,11 @@
     following: int
     end: int
 
+    @property
+    def left(self) -> int:
+        """Number of fences that were not taken yet."""
+        return self.end - self.following
+
     def take(self) -> int:
         """Return a fence that was never used."""
         if self.following >= self.end:
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -216,11 +216,19 @@
         self._note_restarts(now)
         owners = self.selection.list_owners(now)
         control.assign_free(owners, now)
+        self._reserve_fences()
         self._send_due()
         stored = control.take_unstored()
         if stored is not None:
             self._spawn(self._store_ranges(stored))
 
+    def _reserve_fences(self) -> None:
+        """Let the next write of the ranges reserve more fences when half are used."""
+        fences = self.control.fences
+        if self._reserved == fences.end and fences.left < _FENCES // 2:
+            self._reserved += _FENCES
+            self.control.unstored = True
+
     def plan(self) -> None:
         """Begin the moves that even out the load."""
         if not self._authority.may_move():
@@ -259,6 +267,7 @@
                 self.control.note_restarted(server.name, now)
 
     async def _store_ranges(self, stored: list[StoredRange]) -> None:
+        reserved = self._reserved
         try:
             await self._save(stored)
         except PlatformUnavailableError as error:
@@ -273,6 +282,7 @@
             )
             self.control.deposed = True
         else:
+            self.control.fences.end = reserved
             self.control.note_stored(True, self._clock())
             self.tick()
 
--- a/tests/runtime/fleet/test_range_keeper.py
+++ b/tests/runtime/fleet/test_range_keeper.py
@@ -142,3 +142,19 @@
     await keeper._save([StoredRange(0, 65535, "m1", "m0")])
     _, stored = decode_ranges(store.item.value)
     assert stored == [StoredRange(0, 65535, "m1", "m0")]
+
+
+async def test_a_long_term_reserves_more_fences():
+    """After 100,000 fences a leader sent no more orders, and kept its lease."""
+    store = LateStore()
+    permits = SimpleNamespace(may_renew=lambda: True, may_move=lambda: False)
+    selection = SimpleNamespace(service="maps", list_owners=lambda now: [])
+    keeper = RangeKeeper(selection, None, store, None, OwnerTimes(), monotonic, permits)
+    await keeper.start()
+    fences = keeper.control.fences
+    first_end = fences.end
+    fences.following = first_end - 10
+    keeper.tick()
+    await asyncio.gather(*keeper._tasks)
+    reserved, _ = decode_ranges(store.item.value)
+    assert fences.end == reserved > first_end
