Take an own late write of the ranges for one's own

A write of the ranges without an answer may take effect seconds later. If the ownership had changed before it was repeated, the leader found a value unlike its newest one, took it for another leader's, and stepped down.

A value that bears the writer token of the term is an earlier write of it; the newest value is then written over it.

--- a/basilwick/runtime/fleet/leadership.py
+++ b/basilwick/runtime/fleet/leadership.py
@@ -18,7 +18,7 @@
 from basilwick.platform.store import WriteResult
 from basilwick.runtime.fleet.leader_term import LeaderTerm
 from basilwick.runtime.fleet.loops import repeat
-from basilwick.runtime.fleet.range_keeper import (
+from basilwick.runtime.fleet.stored_ranges import (
     OWN_PREFIX,
     decode_ranges,
     get_ranges_key,
@@ -93,8 +93,8 @@
         if change.revision <= self._table_revisions.get(service, 0):
             return
         try:
-            _, stored = decode_ranges(change.value)
-            self.tables[service] = RangeTable.restore(stored)
+            stored = decode_ranges(change.value)
+            self.tables[service] = RangeTable.restore(stored.ranges)
         except ValueError as error:
             logger.bind(key=change.key, reason=str(error)).warning(
                 "passed over unreadable ranges"
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -6,12 +6,9 @@
 from functools import partial
 from secrets import token_hex
 from typing import TYPE_CHECKING, Protocol
-from zlib import compress, decompress
-from zlib import error as ZlibError
 
 from attrs import evolve
 from loguru import logger
-from orjson import JSONDecodeError, dumps, loads
 
 from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.errors import PlatformUnavailableError
@@ -22,9 +19,15 @@
     OrderResult,
     ReleaseOrder,
 )
-from basilwick.core.ranges.table import RangeTable, StoredRange
+from basilwick.core.ranges.table import RangeTable
 from basilwick.platform.backends import encode_grant, encode_release
 from basilwick.platform.store import WriteResult
+from basilwick.runtime.fleet.stored_ranges import (
+    StoredRanges,
+    decode_ranges,
+    encode_ranges,
+    get_ranges_key,
+)
 from basilwick.transport.connection import AnswerStream
 from basilwick.transport.server_client import (
     SendFailure,
@@ -33,11 +36,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.ranges.capacities import OwnerSelection
     from basilwick.core.ranges.orders import Order, OwnerTimes
+    from basilwick.core.ranges.table import StoredRange
     from basilwick.core.types import MonotonicSeconds
     from basilwick.platform.store import Store
     from basilwick.transport.server_client import ServerClient
@@ -46,13 +50,8 @@
     "DeposedError",
     "LeaderAuthority",
     "RangeKeeper",
-    "decode_ranges",
-    "encode_ranges",
-    "get_ranges_key",
 ]
 
-#: Own items of the instances in the platform's service.
-OWN_PREFIX = "basilwick/"
 #: Fences that a leader reserves at a time.
 _FENCES = 100_000
 #: Longest wait in seconds for the answer to a release: work that runs ends first.
@@ -67,54 +66,6 @@
     """Another leader has stored the ownership meanwhile."""
 
 
-def get_ranges_key(service: str) -> str:
-    """Return the key under which a service's ranges are stored."""
-    return f"{OWN_PREFIX}ranges/{service}"
-
-
-def encode_ranges(reserved: int, stored: list[StoredRange], writer: str) -> bytes:
-    """Return the value that is stored.
-
-    Earlier versions read rows of four entries, so a further field stands beside them.
-
-    Parameters
-    ----------
-    reserved : int
-        Bound of the reserved fences.
-    writer : str
-        Tells the writes of one leader's term from those of others.
-    """
-    data = {
-        "writer": writer,
-        "reserved": reserved,
-        "ranges": [[r.first, r.last, r.owner, r.former] for r in stored],
-        "reached": [r.first for r in stored if r.former_reached],
-    }
-    return compress(dumps(data))
-
-
-def decode_ranges(value: bytes) -> tuple[int, list[StoredRange]]:
-    """Return the bound of the reserved fences and the ranges.
-
-    Raises
-    ------
-    ValueError
-        If the value is unreadable.
-    """
-    try:
-        # Earlier versions stored the text as it is.
-        data = loads(value if value.startswith(b"{") else decompress(value))
-        reserved = int(data["reserved"])
-        reached = set(data.get("reached", ()))
-        stored = [
-            StoredRange(*row, former_reached=row[0] in reached)
-            for row in data["ranges"]
-        ]
-        return reserved, stored
-    except (ZlibError, JSONDecodeError, LookupError, TypeError) as error:
-        raise ValueError(f"stored ranges {value[:100]!r}: {error!r}") from error
-
-
 class LeaderAuthority(Protocol):
     """Which orders the leader may send."""
 
@@ -177,14 +128,14 @@
         """
         taken_over_at = self._clock()
         item = await self._store.get(self._key, "read ranges")
-        reserved, stored = 0, []
+        stored = StoredRanges(0, [])
         if item is not None:
-            reserved, stored = decode_ranges(item.value)
+            stored = decode_ranges(item.value)
             self._revision = item.revision
-        self._reserved = reserved + _FENCES
-        await self._save(stored)
-        fences = FenceBlock(max(1, reserved), self._reserved)
-        table = RangeTable.restore(stored)
+        self._reserved = stored.reserved + _FENCES
+        await self._save(stored.ranges)
+        fences = FenceBlock(max(1, stored.reserved), self._reserved)
+        table = RangeTable.restore(stored.ranges)
         self.control = RangeControl(
             self.service,
             table,
@@ -196,7 +147,7 @@
         logger.bind(
             service=self.service,
             ranges=len(table.ranges),
-            unfinished_moves=sum(bool(entry.former) for entry in stored),
+            unfinished_moves=sum(bool(entry.former) for entry in stored.ranges),
             fence=fences.following,
             revision=self._revision,
         ).info("took over the ranges of a service")
@@ -286,25 +237,50 @@
             self.control.note_stored(True, self._clock())
             self.tick()
 
-    async def _save(self, stored: list[StoredRange]) -> None:
-        value = encode_ranges(self._reserved, stored, self._writer)
+    async def _save(self, ranges: Sequence[StoredRange]) -> None:
+        value = encode_ranges(StoredRanges(self._reserved, ranges, self._writer))
+        while not await self._write(value):
+            pass
+
+    async def _write(self, value: bytes) -> bool:
+        """Write the ranges; returns False if an earlier write came in between.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If it is not known whether the value was written.
+        DeposedError
+            If another leader wrote.
+        """
         try:
             result, revision = await self._store.write(
                 self._key, value, self._revision, "store ranges"
             )
+            done = result is WriteResult.DONE
         except PlatformUnavailableError:
             # The write may have taken effect.
             item = await self._store.get(self._key, "check stored ranges")
             if item is None or item.value != value:
                 raise
-            result, revision = WriteResult.DONE, item.revision
-        if result is not WriteResult.DONE:
-            # An earlier write of this instance may have taken effect late.
+            done, revision = True, item.revision
+        if not done:
+            # An earlier write of this term may have taken effect late.
             item = await self._store.get(self._key, "check stored ranges")
-            if item is None or item.value != value:
+            if item is None or not self._wrote(item.value):
                 raise DeposedError(f"{self._key} is not at revision {self._revision}")
-            revision = item.revision
+            done, revision = item.value == value, item.revision
         self._revision = revision
+        return done
+
+    def _wrote(self, value: bytes) -> bool:
+        """Return whether this term wrote a value."""
+        try:
+            return decode_ranges(value).writer == self._writer
+        except ValueError as error:
+            logger.bind(service=self.service, reason=str(error)).warning(
+                "stored ranges became unreadable"
+            )
+            return False
 
     async def _send(self, order: Order, decided_at: MonotonicSeconds) -> None:
         server = self._view.get_server(order.server)
--- a/tests/runtime/fleet/test_leadership.py
+++ b/tests/runtime/fleet/test_leadership.py
@@ -8,7 +8,7 @@
 from fleet_site import FleetSite, make_configuration, wait_until
 
 from basilwick.core.errors import PlatformUnavailableError
-from basilwick.runtime.fleet.range_keeper import get_ranges_key
+from basilwick.runtime.fleet.stored_ranges import get_ranges_key
 
 LEADER_KEY = "basilwick/leader"
 RANGES_KEY = get_ranges_key("maps")
--- a/tests/runtime/fleet/test_range_keeper.py
+++ b/tests/runtime/fleet/test_range_keeper.py
@@ -1,57 +1,19 @@
-"""Stored ranges as the instances write and read them."""
+"""How the ranges of a service are taken over and stored."""
 
 from __future__ import annotations
 
 import asyncio
 from time import monotonic
 from types import SimpleNamespace
-from zlib import compress, decompress
 
 import pytest
-from orjson import dumps, loads
 
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.orders import OwnerTimes
 from basilwick.core.ranges.table import StoredRange
 from basilwick.platform.store import Item, WriteResult
-from basilwick.runtime.fleet.range_keeper import (
-    DeposedError,
-    RangeKeeper,
-    decode_ranges,
-    encode_ranges,
-)
-
-STORED = dumps({"reserved": 300, "ranges": [[0, 9, "m0", ""], [10, 65535, "m1", "m0"]]})
-
-
-@pytest.mark.parametrize("value", [STORED, compress(STORED)])
-def test_ranges_of_this_and_earlier_versions_are_read(value):
-    """An upgrade must not leave the keys without a leader that can read them."""
-    reserved, ranges = decode_ranges(value)
-    assert reserved == 300
-    assert ranges == [StoredRange(0, 9, "m0", ""), StoredRange(10, 65535, "m1", "m0")]
-
-
-@pytest.mark.parametrize("value", [b"", b"x", b"{}", compress(b"[]"), compress(b"{")])
-def test_unreadable_ranges_are_an_error(value):
-    with pytest.raises(ValueError, match="stored ranges"):
-        decode_ranges(value)
-
-
-def test_stored_ranges_are_read_as_they_were_written():
-    """Whether a former owner was reached decides how long its keys are waited for."""
-    stored = [
-        StoredRange(0, 9, "m0", "m1", former_reached=True),
-        StoredRange(10, 65535, "m1", "m0", former_reached=False),
-    ]
-    assert decode_ranges(encode_ranges(300, stored, "term")) == (300, stored)
-
-
-def test_stored_ranges_stay_readable_for_earlier_versions():
-    """During an upgrade an instance of either version may lead."""
-    stored = [StoredRange(0, 9, "m0", "m1", former_reached=True)]
-    value = encode_ranges(300, stored, "term")
-    assert loads(decompress(value))["ranges"] == [[0, 9, "m0", "m1"]]
+from basilwick.runtime.fleet.range_keeper import DeposedError, RangeKeeper
+from basilwick.runtime.fleet.stored_ranges import decode_ranges
 
 
 class RacingStore:
@@ -140,8 +102,8 @@
     store.apply_late()
     # Keys began to move before the write was repeated.
     await keeper._save([StoredRange(0, 65535, "m1", "m0")])
-    _, stored = decode_ranges(store.item.value)
-    assert stored == [StoredRange(0, 65535, "m1", "m0")]
+    stored = decode_ranges(store.item.value)
+    assert stored.ranges == [StoredRange(0, 65535, "m1", "m0")]
 
 
 async def test_a_long_term_reserves_more_fences():
@@ -156,5 +118,5 @@
     fences.following = first_end - 10
     keeper.tick()
     await asyncio.gather(*keeper._tasks)
-    reserved, _ = decode_ranges(store.item.value)
-    assert fences.end == reserved > first_end
+    stored = decode_ranges(store.item.value)
+    assert fences.end == stored.reserved > first_end
