Take over no service without the lease

A leader whose lease had ended unnoticed looked for services without a keeper all the same, read their ranges and reserved fences, and so deposed the leader that held them by then. The look now asks whether the lease is surely in force.

--- a/basilwick/runtime/fleet/lead_role.py
+++ b/basilwick/runtime/fleet/lead_role.py
@@ -134,7 +134,8 @@
 
     async def _take_new_services(self) -> None:
         configuration = self._view.configuration
-        if configuration is None:
+        # Reading and reserving would depose a leader that has followed this one.
+        if configuration is None or not self._authority.may_move():
             return
         for spec in configuration.services.values():
             if not spec.partitioned or spec.name in self._keepers:
