Test each assumption that a leader makes of a restarted server

The review reverted the lines of the restart one at a time, and no test failed for four of them: the wait for a server that is not reached, its new fence, the stored note that a former owner was reached, and that a new owner which has not accepted counts as not reached.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -41,7 +41,7 @@
 from basilwick.core.ranges.placement import plan_even_shares
 from basilwick.core.ranges.serving import describe_owner
 from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
-from basilwick.core.ranges.takeover import begin_takeover
+from basilwick.core.ranges.takeover import begin_anew, begin_takeover
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -239,14 +239,13 @@
         self._hand_to_target(item, HandOverReason.RELEASED, now)
 
     def note_restarted(self, server: ServerName, now: MonotonicSeconds) -> None:
-        """Note that a server's process is another one.
-
-        The new process knows no fences, so it may have accepted grants since its start,
-        those of an earlier leader included.
-        """
+        """Note that a server's process is another one."""
+        unreached_until = self.taken_over_at + self.times.unreached_hold_s
         for item in self.table.ranges:
             if item.owner == server:
-                self._ask_restarted_owner(item, now)
+                begin_anew(item, unreached_until, now)
+                # The stored move may tell that the former owner was reached.
+                self.unstored |= item.target is not None
 
     # Parts of a decision
 
@@ -264,23 +263,6 @@
             item.fence = self.fences.take()
         return self._order_grant(item, self.times.hold_s, now)
 
-    def _ask_restarted_owner(self, item: KeyRange, now: MonotonicSeconds) -> None:
-        """Begin anew with the owner; only its answer ends what it may hold."""
-        unreached_until = self.taken_over_at + self.times.unreached_hold_s
-        item.held_until = max(item.held_until, unreached_until)
-        # The stored move may tell that the former owner was reached.
-        self.unstored |= item.target is not None
-        item.serving_until = _NEVER
-        item.confirmed = False
-        item.fence = 0
-        if item.phase is Phase.STORING:
-            item.pending = item.failures = 0
-            item.next_order_at = now
-        elif item.target is None:
-            item.enter(Phase.OWNED, now)
-        elif now >= item.target_held_until:
-            item.enter(Phase.RAISING, now)
-
     def _replace_leaving_owner(self, item: KeyRange, now: MonotonicSeconds) -> None:
         if self.servers.may_own(item.owner):
             return
--- a/basilwick/core/ranges/takeover.py
+++ b/basilwick/core/ranges/takeover.py
@@ -1,4 +1,4 @@
-"""What a leader assumes of the ranges that an earlier one stored."""
+"""What a leader assumes of ranges before their servers have answered it."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
     from basilwick.core.ranges.table import KeyRange, RangeTable
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["begin_takeover"]
+__all__ = ["begin_anew", "begin_takeover"]
 
 
 def begin_takeover(
@@ -49,3 +49,29 @@
     hold_s = times.unfinished_hold_s if reached else times.unreached_hold_s
     item.held_until = taken_over_at + hold_s
     item.target_held_until = taken_over_at + times.unreached_hold_s
+
+
+def begin_anew(
+    item: KeyRange, unreached_until: MonotonicSeconds, now: MonotonicSeconds
+) -> None:
+    """Begin anew with an owner whose process is another one.
+
+    The new process knows no fences, so it may have accepted grants since its start,
+    also those of a leader of an earlier version. Only its answer ends what it may hold.
+
+    Parameters
+    ----------
+    unreached_until : float
+        Local time until which earlier leaders' grants can be in force.
+    """
+    item.held_until = max(item.held_until, unreached_until)
+    item.serving_until = float("-inf")
+    item.confirmed = False
+    item.fence = 0
+    if item.phase is Phase.STORING:
+        item.pending = item.failures = 0
+        item.next_order_at = now
+    elif item.target is None:
+        item.enter(Phase.OWNED, now)
+    elif now >= item.target_held_until:
+        item.enter(Phase.RAISING, now)
--- a/tests/core/ranges/test_range_control.py
+++ b/tests/core/ranges/test_range_control.py
@@ -347,6 +347,55 @@
     assert model.find_owner(0) == "s2"
 
 
+def test_a_restarted_server_that_is_not_reached_is_waited_for_like_an_unreached_one(
+    model,
+):
+    """An earlier leader may renew the new process; the keys were free at once."""
+    name = model.find_owner(0)
+    taken_over_at = model.holder.control.taken_over_at
+    model.servers[name].restart()
+    model.holder.unreached.add(name)
+    while model.now < taken_over_at + model.times.unreached_hold_s - 0.2:
+        model.run(0.1)
+        assert model.find_owner(0) in (None, name)
+    model.run(1.0)
+    assert model.find_owner(0) not in (None, name)
+
+
+def test_a_restarted_owner_is_granted_its_keys_with_a_new_fence(model):
+    """With the former fence it would accept a late grant from before its restart."""
+    name = model.find_owner(0)
+    before = model.servers[name].seen[0]
+    model.servers[name].restart()
+    model.run(0.2)
+    assert model.servers[name].seen[0] > before
+
+
+def test_a_restart_takes_back_that_the_former_owner_of_a_stored_move_was_reached(model):
+    """The next leader would wait for it for the lease and one hold only."""
+    name = model.find_owner(0)
+    model.move(model.holder, 0, "s2")
+    model.tick(model.holder)
+    model.store(model.holder)
+    assert model.stored[0].former_reached
+    model.servers[name].restart()
+    model.tick(model.holder)
+    model.store(model.holder)
+    assert model.stored[0].former == name
+    assert not model.stored[0].former_reached
+
+
+def test_a_new_owner_that_has_not_accepted_counts_as_not_reached(model):
+    """It may hold grants of an earlier leader that it would renew."""
+    model.move(model.holder, 0, "s2")
+    model.holder.unreached.add("s2")
+    model.run(0.3)
+    item = model.holder.control.table.find(0)
+    assert item.owner == "s2"
+    assert not item.confirmed
+    assert not item.settled
+
+
 def test_a_conflict_is_answered_with_a_higher_fence(model):
     owner = model.find_owner(0)
     seen = model.servers[owner].seen
