--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -293,7 +293,7 @@
             item.fence,
             hold_s,
             item.hand_over if item.phase is Phase.OWNED else None,
-            ends_hold=item.phase is Phase.RAISING,
+            to_former_owner=item.phase is Phase.RAISING,
             same_process=not self._leased,
         )
 
--- a/basilwick/core/ranges/orders.py
+++ b/basilwick/core/ranges/orders.py
@@ -79,12 +79,12 @@
 
     @property
     def unreached_hold_s(self) -> float:
-        """Longest time from a takeover to the end of grants of earlier leaders."""
+        """Longest time from a takeover to the end of any grant of earlier leaders."""
         return self.autonomy_s + self.longest_hold_s
 
     @property
     def unfinished_hold_s(self) -> float:
-        """The same for grants that an earlier leader sends only with its lease."""
+        """Longest time from a takeover to the end of grants sent with a lease only."""
         return self.lease_s + self.longest_hold_s
 
 
@@ -114,9 +114,9 @@
 
     Attributes
     ----------
-    ends_hold : bool
-        Whether it goes to the former owner of a move, so that ownership depends on its
-        answer.
+    to_former_owner : bool
+        Whether it goes to the former owner of a move with a higher fence, so that the
+        next step of the move depends on its answer.
     same_process : bool
         Whether it must reach the process that earlier orders reached. A server that
         started anew would accept it whatever later leaders have done.
@@ -129,7 +129,7 @@
     fence: int
     hold_s: float
     hand_over: str | None = None
-    ends_hold: bool = False
+    to_former_owner: bool = False
     same_process: bool = False
 
 
--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -42,7 +42,7 @@
     from basilwick.core.ranges.capacities import OwnerSelection
     from basilwick.core.ranges.orders import Order, OwnerTimes
     from basilwick.core.ranges.table import StoredRange
-    from basilwick.core.types import MonotonicSeconds
+    from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.platform.store import Store
     from basilwick.transport.server_client import ServerClient
 
@@ -113,7 +113,7 @@
         self._reserved = 0
         self._writer = token_hex(8)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._lives: dict[str, int] = {}
+        self._starts_ms: dict[str, int] = {}
         self.control: RangeControl | None = None
 
     async def start(self) -> None:
@@ -211,9 +211,9 @@
             server = item.owner and self._view.get_server(item.owner)
             if not server:
                 continue
-            known = self._lives.setdefault(server.name, server.started_ms)
+            known = self._starts_ms.setdefault(server.name, server.started_ms)
             if known != server.started_ms:
-                self._lives[server.name] = server.started_ms
+                self._starts_ms[server.name] = server.started_ms
                 logger.bind(server=server.name).info("server started anew")
                 self.control.note_restarted(server.name, now)
 
@@ -334,6 +334,7 @@
         self, order: Order, address: str, decided_at: MonotonicSeconds
     ) -> object:
         may_write = partial(self._may_write, order, decided_at)
+        # The client asks again before the write; this saves the wait for a connection.
         if not may_write():
             detail = "the order was withdrawn before it was sent"
             return SendFailure(SendOutcome.WITHDRAWN, False, detail)
@@ -367,7 +368,7 @@
         b"",
         b"",
         idempotent=True,
-        exclusive=order.ends_hold,
+        exclusive=order.to_former_owner,
         kept=order.same_process,
     )
 
--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -206,7 +206,9 @@
                     self._port,
                 )
         except TimeoutError as error:
-            raise ConnectionError("no connection within 0.4 s") from error
+            raise ConnectionError(
+                f"no connection within {CONNECT_TIMEOUT_S} s"
+            ) from error
         finally:
             self._opening -= 1
             if connection is None:
