--- a/basilwick/runtime/fleet/range_keeper.py
+++ b/basilwick/runtime/fleet/range_keeper.py
@@ -113,7 +113,7 @@
         self._reserved = 0
         self._writer = token_hex(8)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._starts_ms: dict[str, int] = {}
+        self._starts_ms: dict[ServerName, int] = {}
         self.control: RangeControl | None = None
 
     async def start(self) -> None:
