--- a/tests/core/ranges/test_ownership_noise.py
+++ b/tests/core/ranges/test_ownership_noise.py
@@ -102,9 +102,24 @@
         model.check()
 
 
-def play_noise(model, rng, steps):
+def cut_off_holder(model, rng):
+    """Leave the leader with a server that it may have moved keys to just now."""
+    owners = [entry.owner for entry in model.stored if entry.former]
+    kept = rng.choice(owners or [*model.servers])
+    leader = model.holder
+    leader.contact = False
+    leader.unreached = set(model.servers) - {kept}
+    for other in model.leaders:
+        if other is not leader:
+            other.unreached.add(kept)
+    model.servers[kept].in_use = rng.random() < 0.5
+
+
+def play_noise(model, rng, steps, cut_off_share=0.0):
     """Play steps in which each event has a small probability."""
     for _ in range(steps):
+        if cut_off_share and rng.random() < cut_off_share:
+            cut_off_holder(model, rng)
         for leader in model.leaders[-3:]:
             if rng.random() < 0.9:
                 model.renew(leader)
@@ -157,6 +172,15 @@
     play_noise(model, rng, 400)
 
 
+@pytest.mark.parametrize("seed", range(60))
+def test_a_block_never_has_two_holders_beside_cut_off_leaders(seed):
+    rng = Random(seed)
+    model = build_model()
+    model.take_over()
+    model.run(0.5)
+    play_noise(model, rng, 400, cut_off_share=0.02)
+
+
 def test_a_site_recovers_after_noise():
     """Every block is served again once the troubles end."""
     for seed in range(20):
