Do not prolong the wait for a reached former owner from leader to leader

A leader that took up a stored move stored it again as one whose former owner was not reached, because it had not been answered itself; the leader after it then waited 12.76 s instead of 5.76 s. The note now stays until the former owner starts anew or the keys go to their next owner: whoever stored the move had shut earlier leaders out, and leaders that take it up grant the former owner nothing.

The new test failed before.

--- a/basilwick/core/ranges/control.py
+++ b/basilwick/core/ranges/control.py
@@ -335,7 +335,7 @@
         item.owner, item.target = item.target, None
         self._store_end_at = min(self._store_end_at, now + _STORE_END_AFTER_S)
         item.fence = 0
-        item.confirmed = False
+        item.confirmed = item.former_reached = False
         item.serving_until = _NEVER
         item.held_until, item.target_held_until = item.target_held_until, _NEVER
         item.enter(Phase.OWNED, now)
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -67,8 +67,10 @@
 
     Attributes
     ----------
-    former, former_reached
-        As stored; a takeover makes them the owner of an unfinished move.
+    former : str or None
+        As stored; a takeover makes it the owner of an unfinished move.
+    former_reached : bool
+        Whether the leader that stored an unfinished move had reached its owner.
     fence : int
         Fence of the newest grant to the owner.
     serving_until : float
@@ -143,7 +145,7 @@
             self.last,
             self.target,
             self.owner or "",
-            self.owner is not None and self.confirmed,
+            self.owner is not None and (self.confirmed or self.former_reached),
         )
 
     def split_at(self, key: int) -> KeyRange:
--- a/basilwick/core/ranges/takeover.py
+++ b/basilwick/core/ranges/takeover.py
@@ -66,7 +66,7 @@
     """
     item.held_until = max(item.held_until, unreached_until)
     item.serving_until = float("-inf")
-    item.confirmed = False
+    item.confirmed = item.former_reached = False
     item.fence = 0
     if item.phase is Phase.STORING:
         item.pending = item.failures = 0
--- a/tests/core/ranges/test_takeover.py
+++ b/tests/core/ranges/test_takeover.py
@@ -46,6 +46,23 @@
     assert model.holder is not former
 
 
+def test_a_chain_of_leaders_does_not_prolong_the_wait_for_a_reached_former_owner(model):
+    """Each further leader stored it as not reached; the next one waited 7 s more."""
+    model.move(model.holder, 0, "s2")
+    model.tick(model.holder)
+    model.store(model.holder)
+    assert model.stored[0].former_reached
+    for _ in range(2):
+        model.holder.alive = False
+        model.take_over()
+        model.holder.control.unstored = True
+        model.tick(model.holder)
+        model.store(model.holder)
+    assert model.stored[0].former_reached
+    model.run(model.times.unfinished_hold_s + 0.3)
+    assert model.find_owner(0) == "s2"
+
+
 def leave_only(model, leader, name):
     """Cut a leader off with one server, so that no other one tells it of fences."""
     leader.contact = False
