Log and count the rate limits that servers state

The limit is decoded and kept with the server's registration; no decision uses it yet. A response that doesn't state a limit ends it only if its request was sent after the last statement, and a rejection never does.

--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -19,8 +19,13 @@
     "SendFinished",
     "SendOutcome",
     "SharedChanges",
+    "UNLIMITED_RATE",
 ]
 
+#: Rate limit in requests per second of a server that names none; above any real limit,
+#: and unlike infinity it can be encoded as a JSON number.
+UNLIMITED_RATE = 1e9
+
 
 class SendOutcome(StrEnum):
     """How sending a request to a server ended, as far as it concerns the server."""
--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -6,6 +6,8 @@
 
 from attrs import define, evolve, field, frozen
 
+from basilwick.core.dispatch.messages import UNLIMITED_RATE
+
 if TYPE_CHECKING:
     from basilwick.core.types import (
         DataCentreName,
@@ -155,6 +157,10 @@
     cold_until: MonotonicSeconds
     #: Local time from which an expired registration is removed; None while it exists.
     removal_at: MonotonicSeconds | None = None
+    #: Requests per second that the server last stated it takes from all instances.
+    rate_limit: float = UNLIMITED_RATE
+    #: Local time of the last report of that limit.
+    rate_limit_at: MonotonicSeconds = float("-inf")
 
 
 @define(eq=False)
@@ -275,6 +281,56 @@
         if registration is not None:
             registration.cold_until = max(registration.cold_until, now + seconds)
 
+    def record_rate_limit(
+        self,
+        name: ServerName,
+        rate_limit: float,
+        sent_at: MonotonicSeconds,
+        now: MonotonicSeconds,
+    ) -> float | None:
+        """Record the rate limit that a response of a server states.
+
+        Responses can overtake each other, so a limit ends only with the response to a
+        request that was sent after the limit was last reported.
+
+        Parameters
+        ----------
+        rate_limit : float
+            Requests per second, `UNLIMITED_RATE` if the response states no limit.
+        sent_at : float
+            Local time at which the request was sent.
+        now : float
+            Local time.
+
+        Returns
+        -------
+        float or None
+            The former limit if it changed.
+        """
+        registration = self._servers.get(name)
+        if registration is None:
+            return None
+        if rate_limit < UNLIMITED_RATE:
+            registration.rate_limit_at = now
+        elif sent_at < registration.rate_limit_at:
+            return None
+        former = registration.rate_limit
+        registration.rate_limit = rate_limit
+        return None if rate_limit == former else former
+
+    def get_rate_limit(self, name: ServerName) -> float:
+        """Return the requests per second that a server takes from all instances."""
+        registration = self._servers.get(name)
+        return UNLIMITED_RATE if registration is None else registration.rate_limit
+
+    def list_rate_limits(self) -> dict[ServerName, float]:
+        """Return the rate limits in requests per second that servers have stated."""
+        return {
+            name: registration.rate_limit
+            for name, registration in self._servers.items()
+            if registration.rate_limit < UNLIMITED_RATE
+        }
+
     def list_servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the servers of a service that may get new requests or keys."""
         return [
--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -43,6 +43,10 @@
         "shed" rejects them, "stray" sends a response with another request id before
         the right one, "fail" responds with status 500, and "break" resets the
         connection in the middle of a response body.
+    rate_limit : str
+        Rate limit in requests per second that responses state, "" for none.
+    arrivals : list of float
+        Local times at which requests for this server arrived.
     runs : list of Run
         Executed requests, in one list for all servers of a test.
     public_address : str
@@ -60,6 +64,8 @@
     queue: int = 16
     service_time_s: float = 0.02
     fault: str = ""
+    rate_limit: str = ""
+    arrivals: list[float] = field(factory=list)
     address: str = "127.0.0.1:0"
     public_address: str = ""
     leaving: bool = False
@@ -163,11 +169,14 @@
     async def _serve(self, request: web.Request) -> web.Response:
         request_id = request.headers.get("X-Request-Id", "")
         headers = {"X-Request-Id": request_id}
+        if self.rate_limit:
+            headers["Server-Limit"] = self.rate_limit
         expected = request.headers.get("X-Expected-Instance", self.name)
         key = int(request.headers.get("X-Shard-Key", -1))
         held = not self.partitioned or self.holds(key)
         if expected != self.name or not held:
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
+        self.arrivals.append(monotonic())
         body = await request.read()
         if self.fault == "shed" or self.waiting >= self.queue:
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from prometheus_client import (
@@ -229,12 +230,39 @@
             "Resources of the configuration in force that are not used as written.",
             registry=self.registry,
         )
+        self._server_rate_limits = Gauge(
+            "basilwick_server_rate_limit",
+            "Requests per second that a server states it takes from all instances.",
+            ("server",),
+            registry=self.registry,
+        )
+        self._rate_limited_requests = Counter(
+            "basilwick_rate_limited_requests",
+            "Requests sent by this instance to servers while a rate limit was known.",
+            ("server",),
+            registry=self.registry,
+        )
 
     def observe_request(self, service: str, status: int, elapsed_s: float) -> None:
         """Count an answered request."""
         self._requests.labels(service, str(status)).inc()
         self._request_seconds.labels(service).observe(elapsed_s)
 
+    def count_rate_limited_request(self, server: str) -> None:
+        """Count a request that was sent to a server with a known rate limit."""
+        self._rate_limited_requests.labels(server).inc()
+
+    def set_rate_limits(self, rate_limits: dict[str, float]) -> None:
+        """Replace the rate limits that servers have stated, in requests per second."""
+        self._server_rate_limits.clear()
+        for server, rate_limit in rate_limits.items():
+            self._server_rate_limits.labels(server).set(rate_limit)
+
+    def remove_server(self, server: str) -> None:
+        """Remove the series of a server that left."""
+        with suppress(KeyError):
+            self._rate_limited_requests.remove(server)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self.registry)
--- a/basilwick/platform/http_messages.py
+++ b/basilwick/platform/http_messages.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from math import isfinite
 from typing import TYPE_CHECKING
 
 from attrs import frozen
 from orjson import dumps
 
+from basilwick.core.dispatch.messages import UNLIMITED_RATE
 from basilwick.transport.exchange import encode_headers, is_hop_by_hop_field
 
 if TYPE_CHECKING:
@@ -30,6 +32,7 @@
 _KEY = b"x-shard-key"
 _NOT_RUN = b"x-not-executed"
 _WARM_UP_LEFT = b"x-warmup-remaining-ms"
+_RATE_LIMIT = b"server-limit"
 _HANDOVER_TOKEN = b"x-handover"
 _MS = 0.001
 _MAX_KEY = 65_535
@@ -68,12 +71,16 @@
         Seconds for which the server stays cold.
     handover_token : str or None
         Token with which the next owner of released keys starts warm.
+    rate_limit : float or None
+        Requests per second that the server takes from all instances together,
+        `UNLIMITED_RATE` if it states no limit, None if the limit is unreadable.
     """
 
     request_id: bytes
     not_run: bool
     warm_up_left_s: float
     handover_token: str | None
+    rate_limit: float | None
 
 
 def read_request_metadata(fields: Iterable[tuple[bytes, bytes]]) -> RequestMetadata:
@@ -96,13 +103,20 @@
 
 def read_response_metadata(fields: Iterable[tuple[bytes, bytes]]) -> ResponseMetadata:
     """Read the metadata of a server's response."""
-    values = {name.lower(): value for name, value in fields}
+    values = {}
+    rate_limit: float | None = UNLIMITED_RATE
+    for name, value in fields:
+        field_name = name.lower()
+        values[field_name] = value
+        if field_name == _RATE_LIMIT and rate_limit is not None:
+            rate_limit = _parse_rate_limit(value, rate_limit)
     handover_token = values.get(_HANDOVER_TOKEN)
     return ResponseMetadata(
         values.get(_REQUEST_ID, b""),
         _NOT_RUN in values,
         _parse_number(values.get(_WARM_UP_LEFT, b""), 0.0) * _MS,
         None if handover_token is None else handover_token.decode("latin-1"),
+        rate_limit,
     )
 
 
@@ -180,6 +194,14 @@
     return head.encode() + b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
+def _parse_rate_limit(value: bytes, upper_bound: float) -> float | None:
+    """Return a stated rate limit up to a bound, None if it is unreadable."""
+    rate_limit = _parse_number(value, None)
+    if rate_limit is None or not isfinite(rate_limit) or rate_limit < 0.0:
+        return None
+    return min(rate_limit, upper_bound)
+
+
 def _parse_number(value: bytes, default: float | None) -> float | None:
     try:
         return float(value)
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -9,12 +9,7 @@
 from loguru import logger
 
 from basilwick.core.dispatch.caller_waits import CallerWaitEstimator
-from basilwick.core.dispatch.messages import (
-    DispatchRequest,
-    Refused,
-    SendFinished,
-    SendOutcome,
-)
+from basilwick.core.dispatch.messages import DispatchRequest, Refused, SendOutcome
 from basilwick.core.dispatch.response_sizes import ResponseSizeEstimator
 from basilwick.core.dispatch.routes import RouteTable
 from basilwick.core.types import Operation
@@ -25,6 +20,7 @@
     CallerBody,
     CallerBodyReader,
 )
+from basilwick.runtime.fleet.response_recorder import ResponseRecorder, was_not_run
 from basilwick.transport.exchange import Answer
 from basilwick.transport.http_server import RawResponse
 from basilwick.transport.server_client import SendFailure, ServerAnswer, ServerRequest
@@ -138,6 +134,7 @@
         self._routes = RouteTable()
         self._wait_estimator = CallerWaitEstimator()
         self._response_sizes = ResponseSizeEstimator()
+        self._recorder = ResponseRecorder(view, metrics, clock)
         self._tasks: set[asyncio.Task[Answer]] = set()
         self._body_reader = CallerBodyReader()
 
@@ -248,7 +245,7 @@
                     break
                 return self._make_failure_response(context, decision.retry_after_s)
             result = await self._send_attempt(context, decision, dispatch_client)
-            if isinstance(result, ServerAnswer) and not _was_not_run(result):
+            if isinstance(result, ServerAnswer) and not was_not_run(result):
                 if result.status < 500 or not context.idempotent:
                     return _make_response(result)
                 failed_response = result
@@ -299,27 +296,19 @@
     ) -> ServerAnswer | SendFailure:
         context.tried_servers += (decision.server,)
         context.in_flight = True
-        outcome = SendOutcome.WITHDRAWN
+        result = None
         sent_at = self._clock()
         try:
             result = await self._send_to_server(context, decision)
-            if isinstance(result, SendFailure):
-                outcome = result.outcome
-            else:
-                outcome = _classify_response(result)
-                if outcome is SendOutcome.OK:
-                    self._response_sizes.record(
-                        context.route, _get_body_size(result.body)
-                    )
-                if result.metadata.warm_up_left_s:
-                    self._view.extend_warm_up(
-                        decision.server, result.metadata.warm_up_left_s, self._clock()
-                    )
             return result
         finally:
             context.in_flight = False
-            latency_s = self._clock() - sent_at
-            dispatch_client.finish(SendFinished(decision.number, outcome, latency_s))
+            finished = self._recorder.record(
+                decision.server, decision.number, result, sent_at
+            )
+            if finished.outcome is SendOutcome.OK:
+                self._response_sizes.record(context.route, _get_body_size(result.body))
+            dispatch_client.finish(finished)
 
     async def _send_to_server(
         self, context: _RequestContext, decision: Assigned
@@ -407,17 +396,5 @@
     return len(body) if isinstance(body, bytes) else body.length or 0
 
 
-def _was_not_run(answer: ServerAnswer) -> bool:
-    return answer.metadata.not_run or answer.status == 421
-
-
-def _classify_response(answer: ServerAnswer) -> SendOutcome:
-    if answer.status == 421:
-        return SendOutcome.MISDIRECTED
-    if answer.metadata.not_run:
-        return SendOutcome.SHED
-    return SendOutcome.FAILED if answer.status >= 500 else SendOutcome.OK
-
-
 def _make_response(answer: ServerAnswer) -> Answer:
     return Answer(answer.status, answer.fields, answer.body, answer.length)
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -254,6 +254,7 @@
             self._client.remove_address(server.address)
             self._order_client.remove_address(server.address)
             self._fallback.dispatcher.remove_server(server.name)
+            self.metrics.remove_server(server.name)
         if self._role is not None and self._role.deposed:
             await self._election.step_down("servers follow another leader")
         self._apply_limits()
@@ -283,5 +284,6 @@
     async def _respond_metrics(self, raw: BaseRequest) -> RawResponse:
         response = RawResponse(raw)
         fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        self.metrics.set_rate_limits(self._view.list_rate_limits())
         await response.send(Answer(200, fields, self.metrics.render()))
         return response
--- /dev/null
+++ b/basilwick/runtime/fleet/response_recorder.py
@@ -0,0 +1,109 @@
+"""Records what the responses of servers tell about them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from basilwick.core.dispatch.messages import UNLIMITED_RATE, SendFinished, SendOutcome
+from basilwick.logs import log_request_line
+from basilwick.transport.server_client import SendFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from basilwick.core.dispatch.site import SiteView
+    from basilwick.core.types import MonotonicSeconds, ServerName
+    from basilwick.metrics import FleetMetrics
+    from basilwick.transport.server_client import ServerAnswer
+
+__all__ = ["ResponseRecorder", "was_not_run"]
+
+#: Status by which a server rejects a request that was meant for another server.
+_STATUS_MISDIRECTED = 421
+
+
+@define(eq=False)
+class ResponseRecorder:
+    """Records warm-up and rate limit of servers, and describes the end of each send.
+
+    Parameters
+    ----------
+    view : SiteView
+        Holds what is known of each server.
+    metrics : FleetMetrics
+        Counts the requests to servers with a rate limit.
+    clock : callable
+        Local clock in seconds.
+    """
+
+    _view: SiteView
+    _metrics: FleetMetrics
+    _clock: Callable[[], MonotonicSeconds]
+
+    def record(
+        self,
+        server: ServerName,
+        number: int,
+        result: ServerAnswer | SendFailure | None,
+        sent_at: MonotonicSeconds,
+    ) -> SendFinished:
+        """Record the result of a send and return the report for the dispatcher.
+
+        Parameters
+        ----------
+        number : int
+            Number of the dispatch request.
+        result : ServerAnswer, SendFailure or None
+            None if the send was cancelled.
+        sent_at : float
+            Local time at which the request was sent.
+        """
+        now = self._clock()
+        if self._view.get_rate_limit(server) < UNLIMITED_RATE:
+            self._metrics.count_rate_limited_request(server)
+        latency_s = now - sent_at
+        if result is None:
+            return SendFinished(number, SendOutcome.WITHDRAWN, latency_s)
+        if isinstance(result, SendFailure):
+            return SendFinished(number, result.outcome, latency_s)
+        if result.metadata.warm_up_left_s:
+            self._view.extend_warm_up(server, result.metadata.warm_up_left_s, now)
+        self._record_rate_limit(server, result, sent_at)
+        return SendFinished(number, _classify_response(result), latency_s)
+
+    def _record_rate_limit(
+        self, server: ServerName, response: ServerAnswer, sent_at: MonotonicSeconds
+    ) -> None:
+        rate_limit = response.metadata.rate_limit
+        rejected_without_limit = rate_limit == UNLIMITED_RATE and was_not_run(response)
+        if rate_limit is None or rejected_without_limit:
+            return
+        former = self._view.record_rate_limit(
+            server, rate_limit, sent_at, self._clock()
+        )
+        if former is not None:
+            log_request_line(
+                "server rate limit changed",
+                server=server,
+                former=_format_rate(former),
+                rate_limit=_format_rate(rate_limit),
+            )
+
+
+def was_not_run(response: ServerAnswer) -> bool:
+    """Return whether a server states that it did not run the request."""
+    return response.metadata.not_run or response.status == _STATUS_MISDIRECTED
+
+
+def _classify_response(response: ServerAnswer) -> SendOutcome:
+    if response.status == _STATUS_MISDIRECTED:
+        return SendOutcome.MISDIRECTED
+    if response.metadata.not_run:
+        return SendOutcome.SHED
+    return SendOutcome.FAILED if response.status >= 500 else SendOutcome.OK
+
+
+def _format_rate(rate: float) -> float | str:
+    return "none" if rate >= UNLIMITED_RATE else rate
--- a/tests/core/dispatch/test_site.py
+++ b/tests/core/dispatch/test_site.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 
 from basilwick.core.dispatch.caller_waits import CallerWaitEstimator
+from basilwick.core.dispatch.messages import UNLIMITED_RATE
 from basilwick.core.dispatch.retry_window import RetryBudget, RetryWindow
 from basilwick.core.dispatch.routes import RouteTable, WeightedRoundRobin
 from basilwick.core.dispatch.site import (
@@ -41,6 +42,31 @@
     assert [s.name for s in view.remove_expired_servers(10.0)] == ["s"]
 
 
+def test_a_rate_limit_ends_with_a_later_response_that_states_none():
+    view = SiteView()
+    view.apply_server(SERVER, 0.0)
+    assert view.record_rate_limit("s", 12.0, 1.0, 1.1) == UNLIMITED_RATE
+    assert view.record_rate_limit("s", 9.0, 1.2, 1.3) == 12.0
+    assert view.record_rate_limit("s", UNLIMITED_RATE, 1.4, 1.5) == 9.0
+    assert view.list_rate_limits() == {}
+
+
+def test_an_overtaken_response_does_not_end_a_rate_limit():
+    view = SiteView()
+    view.apply_server(SERVER, 0.0)
+    view.record_rate_limit("s", 12.0, 1.0, 1.1)
+    assert view.record_rate_limit("s", UNLIMITED_RATE, 0.9, 1.2) is None
+    assert view.list_rate_limits() == {"s": 12.0}
+
+
+def test_a_rate_limit_ends_with_the_process_of_its_server():
+    view = SiteView()
+    view.apply_server(SERVER, 0.0)
+    view.record_rate_limit("s", 12.0, 1.0, 1.1)
+    view.apply_server(evolve(SERVER, started_ms=2), 2.0)
+    assert view.get_rate_limit("s") == UNLIMITED_RATE
+
+
 def test_a_registration_that_expired_in_an_outage_may_be_renewed():
     """Registrations expire in an outage of the platform's service.
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from orjson import dumps, loads
 
+from basilwick.core.dispatch.messages import UNLIMITED_RATE
 from basilwick.core.errors import InvalidSettingsError
 from basilwick.core.ranges.orders import GrantOrder, ReleaseOrder
 from basilwick.core.types import Operation
@@ -277,6 +278,29 @@
     assert (metadata.warm_up_left_s, metadata.handover_token) == (0.25, "t")
 
 
+@pytest.mark.parametrize(
+    ("values", "rate_limit"),
+    [
+        ([], UNLIMITED_RATE),
+        ([b"13.5"], 13.5),
+        ([b"0"], 0.0),
+        ([b" 7 "], 7.0),
+        ([b"1e300"], UNLIMITED_RATE),
+        ([b"20", b"8"], 8.0),
+        ([b"8", b"20"], 8.0),
+        ([b"8", b"many"], None),
+        ([b"-1"], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b""], None),
+        ([b"many"], None),
+    ],
+)
+def test_an_unreadable_rate_limit_does_not_count_as_its_end(values, rate_limit):
+    metadata = read_response_metadata([(b"Server-Limit", v) for v in values])
+    assert metadata.rate_limit == rate_limit
+
+
 def test_request_head_has_the_server_and_the_time_left():
     fields = [
         (b"X-Request-Id", b"q"),
