Keep a garbage collection out of the parsing of test files

test_named_tests_exist failed with SystemError (AST constructor recursion depth mismatch) in 2 of 2 runs of five test folders together, and passed alone. The stand-in store of test_key_value_store.py left its connections open; when one was collected while ast.parse ran, its finalizer raised and the traceback was formatted, which parses code too, and CPython 3.11 does not bear that. The stand-in now closes its connections, and the collector is off while a file is parsed, once for each file.

--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -15,9 +15,11 @@
 @pytest_asyncio.fixture
 async def start_store():
     opened = []
+    writers = []
 
     async def start(respond):
         async def handle(reader, writer):
+            writers.append(writer)
             try:
                 await reader.readuntil(b"\r\n\r\n")
                 await respond(writer)
@@ -35,6 +37,8 @@
     for store, server in opened:
         await store.close()
         server.close()
+    for writer in writers:
+        writer.close()
 
 
 def respond_with(body):
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import gc
 from ast import AsyncFunctionDef, FunctionDef, parse, walk
+from functools import cache
 from importlib.util import find_spec
 from pathlib import Path
 from re import findall
@@ -17,10 +19,18 @@
 ]  # fmt: skip
 
 
+@cache
 def _list_functions(path):
+    # In CPython 3.11 a finalizer that prints a traceback while `parse` runs makes it
+    # raise SystemError (recursion depth mismatch).
+    gc.disable()
+    try:
+        tree = parse(path.read_text())
+    finally:
+        gc.enable()
     return {
         node.name
-        for node in walk(parse(path.read_text()))
+        for node in walk(tree)
         if isinstance(node, FunctionDef | AsyncFunctionDef)
     }
 
