Keep the rate limit that a server states, for all instances together

Callers: a server that had stated 13.5 requests a second got 41 a second, so its responses came late or not at all.

Cause: what a server states about its own capacity was forwarded to callers and used by no decision; the dispatcher knew a rate only for cold servers.

Change: the mechanism for cold servers becomes the one for all bounds of a rate. A server's highest rate is the smaller of its warm-up rate and its stated limit; a token bucket holds requests to it, estimates of waits and the capacity that placement fills use it too, so keys leave a limited owner and what can't be served in time is refused at once, with its own reason. Each report of a send carries what the response stated to the dispatcher that decided. A new leader is told the limits that instances know. Without a leader an instance uses a fraction of the rate and begins with a random part of a token; a leader leaves out the fraction of the instances that were linked to it or its predecessor in the last 10 s and are not now, so two leaders at a time keep the limit together. A limit under 0.25 a second counts as that, because a server without requests can't state its end. A token comes back when no connection could be opened.

Link messages: builds before this one close a link on a value or message that they don't know. The leader's record tells its link version, and version 1 is sent nothing new; from now on readers ignore what they don't know. Therefore an unknown message is no longer in the list of malformed lines of test_link.py; test_messages_of_a_later_build_are_read_as_far_as_they_are_known and test_a_link_stays_open_after_a_message_of_a_later_build take its place.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -24,7 +24,11 @@
     from random import Random
 
     from basilwick.core.dispatch.key_owners import KeyOwnerLookup
-    from basilwick.core.dispatch.messages import DispatchRequest, SendFinished
+    from basilwick.core.dispatch.messages import (
+        DispatchRequest,
+        RateLimitReport,
+        SendFinished,
+    )
     from basilwick.core.dispatch.server_load import ServerLoad
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
@@ -79,7 +83,8 @@
     regions : dict of str to str
         Region of each data centre.
     rng : random.Random
-        Source of the jitter in retry-after times.
+        Source of the jitter in retry-after times, and of the first tokens of an
+        instance that decides by itself.
     share : CapacityShare, optional
         Part of the servers' capacity that may be used; by default all of it.
     """
@@ -98,7 +103,7 @@
         self._retry_budget = retry_budget
         self._rng = rng
         self._services: dict[ServiceName, _ServiceState] = {}
-        self._selector = ServerSelector(view, regions, share or CapacityShare())
+        self._selector = ServerSelector(view, regions, share or CapacityShare(), rng)
         self._queues: dict[tuple[ServiceName, ServerName | None], WaitQueue] = {}
         self._pending: dict[Hashable, PendingRequest] = {}
         self._awaiting_handover: list[PendingRequest] = []
@@ -143,6 +148,10 @@
         if pending is None or pending.server is None:
             return []
         service = self._get_service(pending.request.service)
+        if done.rate_limit is not None:
+            self._view.record_rate_limit(
+                pending.server, done.rate_limit, pending.assigned_at, now
+            )
         self._selector.get_load(pending.server).finish(
             done.outcome, done.latency_s, now
         )
@@ -191,6 +200,10 @@
                 del self._queues[key]
         return decisions
 
+    def record_rate_limit(self, report: RateLimitReport, now: MonotonicSeconds) -> None:
+        """Record a rate limit that an instance knows from an earlier response."""
+        self._view.record_rate_limit(report.server, report.rate_limit, now, now)
+
     @property
     def share(self) -> CapacityShare:
         """Part of the servers' capacity that may be used."""
@@ -253,22 +266,26 @@
             if assigned is not None:
                 return assigned
         request = pending.request
-        slots = self._selector.count_slots(queue, now)
-        if not slots:
-            return self._refuse(request, 0.25, "no server can be reached")
         latency_s = self._estimate_latency(queue, now)
+        capacity = self._selector.measure_capacity(queue, latency_s, now)
+        if not capacity.slots:
+            return self._refuse(request, 0.25, "no server can be reached")
         ahead = queue.count_ahead(request.priority, pending.target_at)
-        wait_s = (ahead + 1) * latency_s / slots
+        wait_s = (ahead + 1) / capacity.requests_per_s
         if now + wait_s + latency_s <= pending.target_at:
             entry = (request.priority, pending.target_at, next(self._sequence), pending)
             heappush(queue.on_time, entry)
             return None
-        wait_s = (len(queue.on_time) + len(queue.late) + 1) * latency_s / slots
+        waiting = len(queue.on_time) + len(queue.late)
+        wait_s = (waiting + 1) / capacity.requests_per_s
         in_time = now + wait_s + latency_s <= pending.deadline
-        if in_time and len(queue.late) < _MAX_LATE_PER_SLOT * slots:
+        if in_time and len(queue.late) < _MAX_LATE_PER_SLOT * capacity.slots:
             heappush(queue.late, (pending.deadline, next(self._sequence), pending))
             return None
-        return self._refuse(request, wait_s, "no server has room in time")
+        reason = "no server has room in time"
+        if capacity.rate_limited:
+            reason += "; rates of cold or limited servers are used up"
+        return self._refuse(request, wait_s, reason)
 
     def _try_assign(
         self, queue: WaitQueue, pending: PendingRequest, now: MonotonicSeconds
@@ -279,6 +296,7 @@
             return None
         self._selector.get_load(server.name).in_flight += 1
         pending.server = server.name
+        pending.assigned_at = now
         return Assigned(pending.request.number, server.name, server.address)
 
     # Waiting requests
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -15,6 +15,7 @@
     "ItemChange",
     "LeaderHeartbeat",
     "LinkMessage",
+    "RateLimitReport",
     "Refused",
     "SendFinished",
     "SendOutcome",
@@ -114,11 +115,29 @@
     ----------
     latency_s : float
         Seconds from sending the request to its response, or to the end without one.
+    rate_limit : float or None
+        Requests per second that the server states it takes from all instances,
+        `UNLIMITED_RATE` if it states no limit. None if this is not known.
     """
 
     number: int
     outcome: SendOutcome
     latency_s: float
+    rate_limit: float | None = None
+
+
+@frozen
+class RateLimitReport:
+    """Tells a leader a rate limit that the sender knows from a server's response.
+
+    Attributes
+    ----------
+    rate_limit : float
+        Requests per second that the server takes from all instances.
+    """
+
+    server: str
+    rate_limit: float
 
 
 @frozen
@@ -210,6 +229,7 @@
     | DispatchRequest
     | CancelRequest
     | SendFinished
+    | RateLimitReport
     | Assigned
     | Refused
     | LeaderHeartbeat
--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -8,11 +8,12 @@
 from attrs import define, field
 
 from basilwick.core.dispatch.messages import SendOutcome
+from basilwick.core.dispatch.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["ServerLoad", "WarmUpBucket"]
+__all__ = ["ServerLoad"]
 
 #: Weight of the newest sample in the moving averages.
 _SAMPLE_WEIGHT = 0.15
@@ -29,38 +30,12 @@
 _MAX_BACKOFF_S = 2.0
 #: Cost of a failed request, in units of the service's typical latency.
 _FAILURE_COST_FACTOR = 3.0
-#: Time in seconds for which unused tokens of the warm-up rate are kept; limits bursts.
-_BURST_S = 0.1
 _FAILURES = (SendOutcome.FAILED, SendOutcome.LOST, SendOutcome.SHED)
 #: Time in seconds without any response after which a server counts as unreachable. A
 #: request that timed out sooner doesn't tell whether its server can be reached.
 _UNREACHABLE_AFTER_S = 0.5
 
 
-@define
-class WarmUpBucket:
-    """Token bucket that limits the requests to a cold server to its warm-up rate."""
-
-    tokens: float = 1.0
-    updated_at: MonotonicSeconds = 0.0
-
-    def try_take(self, rate: float, now: MonotonicSeconds) -> bool:
-        """Take a token for one request; returns whether there was one.
-
-        Parameters
-        ----------
-        rate : float
-            Tokens added per second.
-        """
-        burst = max(1.0, rate * _BURST_S)
-        self.tokens = min(burst, self.tokens + (now - self.updated_at) * rate)
-        self.updated_at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 @define(eq=False)
 class ServerLoad:
     """Requests in flight, latency and failures of a server.
@@ -78,8 +53,8 @@
         Moving average of the share of requests that failed.
     blocked_until : float
         Local time before which the server gets no requests.
-    warm_up_bucket : WarmUpBucket
-        Limits requests while the server is cold.
+    rate_bucket : TokenBucket
+        Limits requests while the server is cold or states a rate limit.
     """
 
     in_flight: int = 0
@@ -87,7 +62,7 @@
     steady_latency_s: float = 0.0
     failure_ratio: float = 0.0
     blocked_until: MonotonicSeconds = 0.0
-    warm_up_bucket: WarmUpBucket = field(factory=WarmUpBucket)
+    rate_bucket: TokenBucket = field(factory=TokenBucket)
     _sampled_at: MonotonicSeconds = float("-inf")
     _responded_at: MonotonicSeconds = float("-inf")
     _backoffs: int = 0
@@ -122,6 +97,8 @@
     ) -> None:
         """Free the slot of a request and update the averages by its outcome."""
         self.in_flight = max(0, self.in_flight - 1)
+        if outcome is SendOutcome.UNREACHABLE:
+            self.rate_bucket.give_back()
         unresponsive = outcome is SendOutcome.TIMEOUT and self._was_unresponsive(
             latency_s, now
         )
--- a/basilwick/core/dispatch/server_selector.py
+++ b/basilwick/core/dispatch/server_selector.py
@@ -4,17 +4,20 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, field, frozen
 
+from basilwick.core.dispatch.messages import UNLIMITED_RATE
 from basilwick.core.dispatch.server_load import ServerLoad
 
 if TYPE_CHECKING:
+    from random import Random
+
     from basilwick.core.dispatch.messages import DispatchRequest
     from basilwick.core.dispatch.site import ServerEntry, SiteView
     from basilwick.core.dispatch.wait_queues import WaitQueue
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
-__all__ = ["CapacityShare", "ServerSelector"]
+__all__ = ["CapacityShare", "QueueCapacity", "ServerSelector"]
 
 #: Cost of a byte sent between data centres, in seconds of latency. Traffic between data
 #: centres is paid for, so a large body leaves its own only for a much faster server.
@@ -34,12 +37,37 @@
     ----------
     slots : int or None
         Slots that may be used of each server; None for all.
-    warm_up_fraction : float
-        Fraction of the warm-up rate that may be used of each cold server.
+    rate_fraction : float
+        Fraction that may be used of the rate of each server that is cold or states a
+        rate limit. The fractions of all dispatchers of a site add up to 1 at most.
     """
 
     slots: int | None = None
-    warm_up_fraction: float = 1.0
+    rate_fraction: float = 1.0
+
+    @property
+    def coordinated(self) -> bool:
+        """Whether one dispatcher decides for several instances."""
+        return self.slots is None
+
+
+@frozen
+class QueueCapacity:
+    """Capacity of the reachable servers of a queue.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that run concurrently.
+    requests_per_s : float
+        Requests per second, as far as slots, latency and rates allow.
+    rate_limited : bool
+        Whether the rate of a cold server or a stated rate limit reduces it.
+    """
+
+    slots: int
+    requests_per_s: float
+    rate_limited: bool
 
 
 @define
@@ -71,11 +99,14 @@
         Region of each data centre.
     share : CapacityShare
         Part of the servers' capacity that may be used.
+    rng : random.Random
+        Source of the first tokens of instances that decide by themselves.
     """
 
     _view: SiteView
     _regions: dict[str, str]
     share: CapacityShare
+    _rng: Random
     _loads: dict[ServerName, ServerLoad] = field(init=False, factory=dict)
     _services: dict[ServiceName, _ServiceCandidates] = field(init=False, factory=dict)
 
@@ -88,7 +119,8 @@
     ) -> ServerEntry | None:
         """Return the server of lowest cost that has a free slot, None if there is none.
 
-        A cold server is chosen only if its warm-up rate allows; this takes a token.
+        A server that is cold or states a rate limit is chosen only if its rate allows;
+        this takes a token.
 
         Parameters
         ----------
@@ -114,15 +146,14 @@
                 cost_s += (_COLD_COST_FACTOR - 1.0) * load.estimate_cost(
                     typical_latency_s, slots, now
                 )
-                if cost_s >= best_cost_s or not self._has_warm_up_token(
-                    load, queue, now
-                ):
+                if cost_s >= best_cost_s:
                     continue
-            best, best_cost_s = candidate, cost_s
+            if self._has_token(candidate, now):
+                best, best_cost_s = candidate, cost_s
         if best is None:
             return None
-        if self._view.is_cold(best.server.name, now):
-            best.load.warm_up_bucket.try_take(self._get_warm_up_rate(queue), now)
+        if self._get_max_rate(best.server.name, now) < UNLIMITED_RATE:
+            best.load.rate_bucket.take()
         return best.server
 
     def get_load(self, name: ServerName) -> ServerLoad:
@@ -137,13 +168,27 @@
         self._loads.pop(name, None)
         self._services.clear()
 
-    def count_slots(self, queue: WaitQueue, now: MonotonicSeconds) -> int:
-        """Return the number of slots of the reachable servers of a queue."""
-        return sum(
-            candidate.slots
-            for candidate in self._list_candidates(queue)
-            if now >= candidate.load.blocked_until
-        )
+    def measure_capacity(
+        self, queue: WaitQueue, latency_s: float, now: MonotonicSeconds
+    ) -> QueueCapacity:
+        """Return the capacity of the reachable servers of a queue.
+
+        Parameters
+        ----------
+        latency_s : float
+            Expected latency of the queue's requests in seconds.
+        """
+        slots = 0
+        requests_per_s = 0.0
+        rate_limited = False
+        for candidate in self._list_candidates(queue):
+            if now < candidate.load.blocked_until:
+                continue
+            slots += candidate.slots
+            max_rate = self._get_max_rate(candidate.server.name, now)
+            rate_limited |= max_rate < candidate.slots / latency_s
+            requests_per_s += min(candidate.slots / latency_s, max_rate)
+        return QueueCapacity(slots, requests_per_s, rate_limited)
 
     def estimate_latency(
         self, queue: WaitQueue, typical_latency_s: float, now: MonotonicSeconds
@@ -153,15 +198,21 @@
             return typical_latency_s
         return self.get_load(queue.owner).estimate_latency(typical_latency_s, now)
 
-    def _has_warm_up_token(
-        self, load: ServerLoad, queue: WaitQueue, now: MonotonicSeconds
-    ) -> bool:
-        gained = (now - load.warm_up_bucket.updated_at) * self._get_warm_up_rate(queue)
-        return load.warm_up_bucket.tokens + gained >= 1.0
-
-    def _get_warm_up_rate(self, queue: WaitQueue) -> float:
-        spec = self._view.get_service(queue.service)
-        return spec.warm_up_rate * self.share.warm_up_fraction
+    def _has_token(self, candidate: _Candidate, now: MonotonicSeconds) -> bool:
+        rate = self._get_max_rate(candidate.server.name, now)
+        if rate >= UNLIMITED_RATE:
+            return True
+        bucket = candidate.load.rate_bucket
+        if not self.share.coordinated and bucket.is_idle(rate, now):
+            # All instances that decide by themselves would otherwise send at once.
+            bucket.restart(self._rng.random(), now)
+        return bucket.has_token(rate, now)
+
+    def _get_max_rate(self, name: ServerName, now: MonotonicSeconds) -> float:
+        rate = self._view.get_max_rate(name, now)
+        if rate >= UNLIMITED_RATE:
+            return UNLIMITED_RATE
+        return rate * self.share.rate_fraction
 
     def _get_slots(self, server: ServerEntry) -> int:
         if self.share.slots is None:
--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -30,6 +30,9 @@
 #: Time in seconds after an outage of the platform's service within which live servers
 #: have renewed the registrations that expired during the outage.
 _REGISTRATION_GRACE_S = 2.0
+#: Lowest rate in requests per second at which a server is used. A server that gets no
+#: requests can't state that its limit has ended.
+_MIN_RATE = 0.25
 
 
 @frozen
@@ -323,6 +326,22 @@
         registration = self._servers.get(name)
         return UNLIMITED_RATE if registration is None else registration.rate_limit
 
+    def get_max_rate(self, name: ServerName, now: MonotonicSeconds) -> float:
+        """Return the requests per second that a server may get from all instances.
+
+        A cold server and one that states a rate limit have a bound; it is
+        `UNLIMITED_RATE` for others.
+        """
+        registration = self._servers.get(name)
+        if registration is None:
+            return UNLIMITED_RATE
+        rate = registration.rate_limit
+        if now < registration.cold_until:
+            spec = self.get_service(registration.server.service)
+            if spec is not None:
+                rate = min(rate, spec.warm_up_rate)
+        return max(rate, _MIN_RATE)
+
     def list_rate_limits(self) -> dict[ServerName, float]:
         """Return the rate limits in requests per second that servers have stated."""
         return {
--- a/basilwick/core/dispatch/wait_queues.py
+++ b/basilwick/core/dispatch/wait_queues.py
@@ -27,6 +27,8 @@
         Local times of its arrival, its target latency and its deadline.
     server : str or None
         Server that it was assigned to; None while it waits.
+    assigned_at : float
+        Local time at which it was assigned to that server.
     ended : bool
         Whether it was refused or withdrawn. Queues may still contain it.
     """
@@ -37,6 +39,7 @@
     target_at: MonotonicSeconds
     deadline: MonotonicSeconds
     server: ServerName | None = None
+    assigned_at: MonotonicSeconds = 0.0
     ended: bool = False
 
 
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -156,7 +156,10 @@
             fastest_s = self.dispatcher.get_typical_latency_s(self.service)
         return [
             ServerCapacity(
-                entry.name, entry.slots, latencies_s[entry.name] or fastest_s
+                entry.name,
+                entry.slots,
+                latencies_s[entry.name] or fastest_s,
+                self.view.get_max_rate(entry.name, now),
             )
             for entry in entries
         ]
--- a/basilwick/core/ranges/placement.py
+++ b/basilwick/core/ranges/placement.py
@@ -81,16 +81,19 @@
         Number of requests that the server runs concurrently.
     latency_s : float
         Time in seconds that the server takes for a request.
+    max_rate : float
+        Highest number of requests per second that the server may get.
     """
 
     server: ServerName
     slots: int
     latency_s: float
+    max_rate: float = float("inf")
 
     @property
     def requests_per_s(self) -> float:
         """Requests per second at full utilization."""
-        return self.slots / self.latency_s
+        return min(self.slots / self.latency_s, self.max_rate)
 
 
 @define(eq=False)
--- a/basilwick/runtime/fleet/dispatch_runner.py
+++ b/basilwick/runtime/fleet/dispatch_runner.py
@@ -11,7 +11,11 @@
     from collections.abc import Callable, Hashable, Iterable
 
     from basilwick.core.dispatch.dispatcher import DispatchDecision, Dispatcher
-    from basilwick.core.dispatch.messages import DispatchRequest, SendFinished
+    from basilwick.core.dispatch.messages import (
+        DispatchRequest,
+        RateLimitReport,
+        SendFinished,
+    )
     from basilwick.core.types import MonotonicSeconds
 
 __all__ = ["DispatchRunner", "DispatchClient", "LocalDispatchClient"]
@@ -94,6 +98,10 @@
         self._request_ids.get(peer, set()).discard(request_id)
         self._deliver(self.dispatcher.finish(request_id, finished, self._clock()))
 
+    def record_rate_limit(self, report: RateLimitReport) -> None:
+        """Record the rate limit of a server that a peer knows."""
+        self.dispatcher.record_rate_limit(report, self._clock())
+
     def cancel(self, peer: Hashable, number: int) -> None:
         """Withdraw a dispatch request or a send of a peer."""
         request_id = (peer, number)
--- a/basilwick/runtime/fleet/failover_dispatcher.py
+++ b/basilwick/runtime/fleet/failover_dispatcher.py
@@ -101,7 +101,7 @@
             return self._leader_client
         if self._link.alive:
             return self._link
-        self._fallback.runner.dispatcher.share.warm_up_fraction = 1.0 / max(
+        self._fallback.runner.dispatcher.share.rate_fraction = 1.0 / max(
             8, self._link.instance_count
         )
         return self._fallback
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -95,6 +95,7 @@
         hello = Hello(deployment.instance, deployment.data_centre, deployment.cores)
         self._listener = LinkListener(deployment.link_address, hello)
         self._link = LeaderLink(hello, read_clock)
+        self._link.list_rate_limits = self._view.list_rate_limits
         self._watch = SiteWatch(
             self._store,
             self._view,
@@ -231,6 +232,8 @@
             read_clock,
             self._rng,
             term,
+            lambda: self._listener.instance_count,
+            self._link.instance_count,
         )
         await self._role.start()
         self._dispatcher.set_leader_runner(self._role.runner)
--- a/basilwick/runtime/fleet/leader_election.py
+++ b/basilwick/runtime/fleet/leader_election.py
@@ -24,6 +24,7 @@
     decode_ranges,
     get_ranges_key,
 )
+from basilwick.transport.link import LINK_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -71,12 +72,15 @@
         Lease to which the record is bound.
     revision : int
         Revision at which the record was written.
+    link_version : int
+        Link version of the leader's build.
     """
 
     instance: str
     address: str
     lease: int
     revision: int
+    link_version: int = 1
 
 
 class StoredState:
@@ -145,7 +149,11 @@
     try:
         data = loads(value)
         return LeaderRecord(
-            data["instance"], data["address"], int(data["lease"]), revision
+            data["instance"],
+            data["address"],
+            int(data["lease"]),
+            revision,
+            int(data.get("link_version", 1)),
         )
     except (JSONDecodeError, KeyError, TypeError) as error:
         raise ValueError(f"invalid leader record {value[:100]!r}: {error!r}") from error
@@ -290,7 +298,10 @@
         """Link to the leader, or try to become the leader if there is none."""
         leader = self._state.leader
         own = leader is not None and leader.instance == self._instance
-        self._link.set_leader_address(None if leader is None or own else leader.address)
+        if leader is None or own:
+            self._link.set_leader_address(None)
+        else:
+            self._link.set_leader_address(leader.address, leader.link_version)
         if self._withdrawn or self._link.alive:
             return
         if leader is None or own:
@@ -349,7 +360,12 @@
         sent_at = self._clock()
         lease = await self._store.create_lease(self._timings.lease_s, "lead")
         value = dumps(
-            {"instance": self._instance, "address": self._address, "lease": lease}
+            {
+                "instance": self._instance,
+                "address": self._address,
+                "lease": lease,
+                "link_version": LINK_VERSION,
+            }
         )
         try:
             result, revision = await self._store.write(
@@ -364,7 +380,7 @@
         if result is not WriteResult.DONE:
             return None
         self._state.leader = LeaderRecord(
-            self._instance, self._address, lease, revision
+            self._instance, self._address, lease, revision, LINK_VERSION
         )
         return LeaderTerm(lease, revision, sent_at, self._timings, self._clock)
 
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from loguru import logger
 
 from basilwick.core.dispatch.messages import (
@@ -14,6 +15,7 @@
     DispatchRequest,
     Hello,
     LeaderHeartbeat,
+    RateLimitReport,
     Refused,
     SendFinished,
     SharedChanges,
@@ -26,7 +28,7 @@
 
     from basilwick.core.dispatch.dispatcher import DispatchDecision
     from basilwick.core.dispatch.messages import LinkMessage
-    from basilwick.core.types import MonotonicSeconds
+    from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
 __all__ = ["LeaderLink", "LinkListener"]
@@ -47,6 +49,8 @@
 #: Interval in seconds between connection attempts, and between checks of a link with
 #: pending requests.
 _RETRY_INTERVAL_S = 0.1
+#: Link version from which a leader reads rate limits of servers.
+_RATE_LIMIT_VERSION = 2
 #: Interval in seconds between checks of a link without pending requests.
 _IDLE_CHECK_INTERVAL_S = 0.3
 
@@ -137,6 +141,8 @@
             runner.submit(link, message, partial(_send_decision, link))
         elif isinstance(message, SendFinished):
             runner.finish(link, message)
+        elif isinstance(message, RateLimitReport):
+            runner.record_rate_limit(message)
         elif isinstance(message, CancelRequest):
             runner.cancel(link, message.number)
         elif isinstance(message, Hello):
@@ -189,6 +195,7 @@
         self._heartbeat_at: MonotonicSeconds = float("-inf")
         self._clock = clock
         self._address: str | None = None
+        self._version = 1
         self._link: Link | None = None
         self._last_message_at: MonotonicSeconds = float("-inf")
         self._replies: dict[int, Callable[[DispatchDecision | None], None]] = {}
@@ -201,6 +208,8 @@
         self.connection_refused = False
         #: Called with the changes that the leader broadcasts.
         self.on_changes: Callable[[SharedChanges], None] | None = None
+        #: Returns the rate limits of servers that a new leader is told.
+        self.list_rate_limits: Callable[[], dict[ServerName, float]] = dict
 
     @property
     def heartbeat(self) -> tuple[LeaderHeartbeat | None, MonotonicSeconds]:
@@ -236,8 +245,15 @@
         if self._link is not None:
             self._link.close()
 
-    def set_leader_address(self, address: str | None) -> None:
-        """Switch to the link of another leader, or to no link."""
+    def set_leader_address(self, address: str | None, version: int = 1) -> None:
+        """Switch to the link of another leader, or to no link.
+
+        Parameters
+        ----------
+        version : int
+            Link version of the leader's build.
+        """
+        self._version = version
         if address == self._address:
             return
         self._address = address
@@ -257,6 +273,8 @@
 
     def finish(self, finished: SendFinished) -> None:
         """Report the outcome of a send."""
+        if self._version < _RATE_LIMIT_VERSION:
+            finished = evolve(finished, rate_limit=None)
         if self._link is not None:
             self._link.send(finished)
 
@@ -326,4 +344,7 @@
         self._link = link
         self._last_message_at = self._clock()
         link.send(self._hello)
+        if self._version >= _RATE_LIMIT_VERSION:
+            for server, rate_limit in self.list_rate_limits().items():
+                link.send(RateLimitReport(server, rate_limit))
         logger.bind(dependency="leader", address=address).info("linked to the leader")
--- a/basilwick/runtime/fleet/leader_role.py
+++ b/basilwick/runtime/fleet/leader_role.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from basilwick.core.dispatch.dispatcher import Dispatcher
+from basilwick.core.dispatch.instance_window import InstanceWindow
 from basilwick.core.dispatch.key_owners import KeyOwner
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.owner_selector import OwnerSelector
@@ -87,6 +88,10 @@
         Random source of the dispatcher.
     authority : LeaderAuthority
         Tells which orders may be sent at the moment.
+    count_linked : callable
+        Returns the number of linked instances, including this one.
+    known_instances : int
+        Number of instances that the former leader had.
 
     Attributes
     ----------
@@ -107,6 +112,8 @@
         clock: Callable[[], MonotonicSeconds],
         rng: Random,
         authority: LeaderAuthority,
+        count_linked: Callable[[], int],
+        known_instances: int,
     ):
         self._view = view
         self._store = store
@@ -117,12 +124,16 @@
         self._range_managers: dict[ServiceName, RangeManager] = {}
         dispatcher = Dispatcher(view, self, retry_budget, deployment.regions, rng)
         self.runner = _LoadRecordingRunner(dispatcher, clock, self._range_managers)
+        self._count_linked = count_linked
+        self._instances = InstanceWindow()
+        self._instances.record(known_instances, clock())
         self._tasks: list[asyncio.Task[None]] = []
         self._rebalanced_at = clock()
         self.deposed = False
 
     async def start(self) -> None:
         """Start dispatching requests and managing key ranges."""
+        self._update_rate_fraction()
         await self.runner.start()
         self._tasks = [
             asyncio.create_task(
@@ -156,7 +167,17 @@
             return KeyOwner(None, moving=True)
         return manager.controller.find_owner(service, key, now)
 
+    def _update_rate_fraction(self) -> None:
+        """Leave the part of the servers' rates to instances that are not linked.
+
+        They decide by themselves, or are still linked to an earlier leader.
+        """
+        linked = self._count_linked()
+        self._instances.record(linked, self._clock())
+        self.runner.dispatcher.share.rate_fraction = linked / self._instances.largest
+
     async def _send_orders(self) -> None:
+        self._update_rate_fraction()
         for manager in self._range_managers.values():
             manager.tick()
             self.deposed |= manager.controller.deposed
--- a/basilwick/runtime/fleet/response_recorder.py
+++ b/basilwick/runtime/fleet/response_recorder.py
@@ -70,16 +70,14 @@
             return SendFinished(number, result.outcome, latency_s)
         if result.metadata.warm_up_left_s:
             self._view.extend_warm_up(server, result.metadata.warm_up_left_s, now)
-        self._record_rate_limit(server, result, sent_at)
-        return SendFinished(number, _classify_response(result), latency_s)
+        rate_limit = _get_rate_limit(result)
+        if rate_limit is not None:
+            self._record_rate_limit(server, rate_limit, sent_at)
+        return SendFinished(number, _classify_response(result), latency_s, rate_limit)
 
     def _record_rate_limit(
-        self, server: ServerName, response: ServerAnswer, sent_at: MonotonicSeconds
+        self, server: ServerName, rate_limit: float, sent_at: MonotonicSeconds
     ) -> None:
-        rate_limit = response.metadata.rate_limit
-        rejected_without_limit = rate_limit == UNLIMITED_RATE and was_not_run(response)
-        if rate_limit is None or rejected_without_limit:
-            return
         former = self._view.record_rate_limit(
             server, rate_limit, sent_at, self._clock()
         )
@@ -97,6 +95,14 @@
     return response.metadata.not_run or response.status == _STATUS_MISDIRECTED
 
 
+def _get_rate_limit(response: ServerAnswer) -> float | None:
+    """Return the rate limit that a response states; a rejection never ends one."""
+    rate_limit = response.metadata.rate_limit
+    return (
+        None if rate_limit == UNLIMITED_RATE and was_not_run(response) else rate_limit
+    )
+
+
 def _classify_response(response: ServerAnswer) -> SendOutcome:
     if response.status == _STATUS_MISDIRECTED:
         return SendOutcome.MISDIRECTED
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -2,6 +2,10 @@
 
 Each message is one line of JSON. A grpclib call would cost several times the processor
 time of the decision that it carries.
+
+Instances of different builds are linked while a new build is rolled out. A reader
+ignores messages and trailing values that it doesn't know. Builds with link version 1
+close the link instead, so they are sent only what they know.
 """
 
 from __future__ import annotations
@@ -9,6 +13,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from attrs import NOTHING
 from attrs import fields as list_fields
 from loguru import logger
 from orjson import dumps, loads
@@ -20,6 +25,7 @@
     Hello,
     ItemChange,
     LeaderHeartbeat,
+    RateLimitReport,
     Refused,
     SendFinished,
     SendOutcome,
@@ -31,7 +37,17 @@
 
     from basilwick.core.dispatch.messages import LinkMessage
 
-__all__ = ["Link", "connect_link", "decode_message", "encode_message"]
+__all__ = [
+    "LINK_VERSION",
+    "Link",
+    "connect_link",
+    "decode_message",
+    "encode_message",
+]
+
+#: Version of the messages that this build sends and reads. Version 2 has rate limits
+#: of servers.
+LINK_VERSION = 2
 
 _MESSAGE_TYPES = {
     "ask": DispatchRequest,
@@ -39,6 +55,7 @@
     "cancel": CancelRequest,
     "done": SendFinished,
     "hello": Hello,
+    "limit": RateLimitReport,
     "refused": Refused,
     "send": Assigned,
     "shared": SharedChanges,
@@ -48,10 +65,17 @@
     message_type: [f.name for f in list_fields(message_type)]
     for message_type in _MESSAGE_TYPES.values()
 }
+#: Default values of the fields of each message, None for a field without one.
+_DEFAULT_VALUES = {
+    message_type: [f.default if f.default is not NOTHING else None for f in fields]
+    for message_type in _MESSAGE_TYPES.values()
+    for fields in [list_fields(message_type)]
+}
 #: Types that JSON may decode a value to, by the annotation of its field.
 _JSON_TYPES = {
     "bool": bool,
     "float": (int, float),
+    "float | None": (int, float, type(None)),
     "int": int,
     "str": str,
     "SendOutcome": str,
@@ -70,16 +94,22 @@
 
 
 def encode_message(message: LinkMessage) -> bytes:
-    """Return a message as a line of JSON."""
+    """Return a message as a line of JSON.
+
+    Trailing fields with their default values are left out.
+    """
     message_type = type(message)
     values: list[Any] = [getattr(message, name) for name in _FIELD_NAMES[message_type]]
+    defaults = _DEFAULT_VALUES[message_type]
+    while values and values[-1] == defaults[len(values) - 1]:
+        values.pop()
     if message_type is SharedChanges:
         values[-1] = [(c.key, c.value, c.revision) for c in message.changes]
     return dumps([_TAGS[message_type], *values]) + b"\n"
 
 
-def decode_message(line: bytes) -> LinkMessage:
-    """Decode a line of JSON.
+def decode_message(line: bytes) -> LinkMessage | None:
+    """Decode a line of JSON; returns None for a message of a type unknown here.
 
     Raises
     ------
@@ -88,7 +118,10 @@
     """
     try:
         tag, *values = loads(line)
-        message_type = _MESSAGE_TYPES[tag]
+        message_type = _MESSAGE_TYPES.get(tag)
+        if message_type is None and isinstance(tag, str):
+            return None
+        del values[len(_FIELD_NAMES[message_type]) :]
         for value, expected in zip(values, _VALUE_TYPES[message_type], strict=False):
             if not isinstance(value, expected):
                 raise TypeError(f"{value!r} is not of type {expected}")
@@ -136,7 +169,11 @@
             if len(self._incomplete_line) > _MAX_LINE_BYTES:
                 raise ValueError(f"line is longer than {_MAX_LINE_BYTES} bytes")
             for line in lines:
-                self._on_message(self, decode_message(line))
+                message = decode_message(line)
+                if message is None:
+                    logger.bind(line=line[:100]).debug("ignored an unknown message")
+                else:
+                    self._on_message(self, message)
         except ValueError as error:
             logger.bind(error=str(error)).warning(
                 "closing a link that received invalid data"
--- a/tests/core/dispatch/test_dispatcher.py
+++ b/tests/core/dispatch/test_dispatcher.py
@@ -227,7 +227,7 @@
 
 
 def test_instances_without_a_leader_share_the_warm_up_rate():
-    share = CapacityShare(slots=1, warm_up_fraction=0.1)
+    share = CapacityShare(slots=1, rate_fraction=0.1)
     harness = DispatcherHarness(
         make_server("cold", slots=50, warm_up_left_s=3.0), share=share
     )
--- a/tests/core/ranges/test_owner_selector.py
+++ b/tests/core/ranges/test_owner_selector.py
@@ -61,6 +61,17 @@
     assert selection.list_eligible_owners(0.0) == ["m0"]
 
 
+def test_keys_leave_a_server_that_states_a_rate_limit(selection):
+    """An owner with a limit refused requests as long as it had its keys."""
+    table = make_table(["m0", "m1"], KEY_COUNT // 2)
+    for step in range(600):
+        selection.load.record(step * 7919 % KEY_COUNT, step / 60)
+    assert selection.plan(table, 10.0) == []
+    selection.view.record_rate_limit("m0", 8.0, 10.0, 10.0)
+    moves = selection.plan(table, 10.0)
+    assert {move.target for move in moves} == {"m1"}
+
+
 def test_a_range_without_another_server_keeps_its_owner(selection):
     selection.view.remove_server("m1", 0.0)
     assert selection.choose_owner("m0") is None
--- a/tests/runtime/fleet/test_leader_links.py
+++ b/tests/runtime/fleet/test_leader_links.py
@@ -1,10 +1,23 @@
-"""Heartbeats of the leader."""
+"""Heartbeats of the leader, and what it is told of servers."""
 
 from __future__ import annotations
 
+import asyncio
+from time import monotonic
+
 import pytest
 
-from basilwick.runtime.fleet.leader_links import compute_heartbeat_interval
+from basilwick.core.dispatch.messages import (
+    Hello,
+    RateLimitReport,
+    SendFinished,
+    SendOutcome,
+)
+from basilwick.runtime.fleet.leader_links import (
+    LeaderLink,
+    compute_heartbeat_interval,
+)
+from basilwick.transport.link import Link
 
 
 @pytest.mark.parametrize("instances", [1, 10, 60, 195, 6_568])
@@ -14,3 +27,32 @@
     assert 0.1 <= interval_s <= 0.4
     if interval_s < 0.4:
         assert instances / interval_s <= 600.1
+
+
+@pytest.mark.parametrize("version", [1, 2])
+async def test_a_new_leader_is_told_the_known_rate_limits(version):
+    """A new leader knew no limits, and an earlier build closes links that tell them."""
+    received = []
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: Link(lambda _, message: received.append(message), lambda _: None),
+        "127.0.0.1",
+        0,
+    )
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    link = LeaderLink(Hello("i", "a"), monotonic)
+    link.list_rate_limits = lambda: {"s": 13.5}
+    link.set_leader_address(address, version)
+    await link.start()
+    async with asyncio.timeout(2):
+        while not received:
+            await asyncio.sleep(0.01)
+    link.finish(SendFinished(1, SendOutcome.OK, 0.1, 7.0))
+    async with asyncio.timeout(2):
+        while not isinstance(received[-1], SendFinished):
+            await asyncio.sleep(0.01)
+    await link.close()
+    server.close()
+    reports = [m for m in received if isinstance(m, RateLimitReport)]
+    assert reports == ([RateLimitReport("s", 13.5)] if version == 2 else [])
+    assert received[-1].rate_limit == (7.0 if version == 2 else None)
--- a/tests/runtime/fleet/test_rate_limits.py
+++ b/tests/runtime/fleet/test_rate_limits.py
@@ -66,7 +66,7 @@
     for server in site.servers:
         if server.service == "desk":
             server.rate_limit = "6.5"
-    for index in range(6):
+    for index in range(12):
         await site.order(index % 3)
     (instance, *_) = site.instances
     instance.metrics.set_rate_limits(instance._view.list_rate_limits())
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -13,6 +13,7 @@
     Hello,
     ItemChange,
     LeaderHeartbeat,
+    RateLimitReport,
     Refused,
     SendFinished,
     SendOutcome,
@@ -33,6 +34,8 @@
         DispatchRequest(1, "s", 5, 2, 0.2, 1.0, 2),
         CancelRequest(3),
         SendFinished(4, SendOutcome.SHED, 0.5),
+        SendFinished(4, SendOutcome.OK, 0.5, 13.5),
+        RateLimitReport("s", 13.5),
         Assigned(5, "s", "10.0.0.1:1"),
         Refused(6, 0.5, "no room"),
         LeaderHeartbeat(10, 7, 0.25, 3),
@@ -53,13 +56,47 @@
 
 
 @pytest.mark.parametrize(
-    "line", [b"", b"{}", b"[]", b'["odd"]', b'["beat"]', b'["done",1,"odd",0.1]', b"x"]
+    "line", [b"", b"{}", b"[]", b"[4]", b'["beat"]', b'["done",1,"odd",0.1]', b"x"]
 )
 def test_malformed_lines_are_rejected(line):
     with pytest.raises(ValueError, match="no message of a link"):
         decode_message(line)
 
 
+def test_messages_of_a_later_build_are_read_as_far_as_they_are_known():
+    """Instances lost the leader while a new build was rolled out."""
+    assert decode_message(b'["odd",1,{"a":2}]') is None
+    later = decode_message(b'["done",4,"ok",0.5,13.5,"new",[1]]')
+    assert later == SendFinished(4, SendOutcome.OK, 0.5, 13.5)
+
+
+def test_a_report_without_a_rate_limit_has_the_form_of_earlier_builds():
+    """Builds with link version 1 close a link on values that they don't know."""
+    finished = SendFinished(4, SendOutcome.OK, 0.5)
+    assert encode_message(finished) == b'["done",4,"ok",0.5]\n'
+    assert decode_message(b'["done",4,"ok",0.5]') == finished
+
+
+async def test_a_link_stays_open_after_a_message_of_a_later_build():
+    received = []
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: Link(lambda _, message: received.append(message), lambda _: None),
+        "127.0.0.1",
+        0,
+    )
+    port = server.sockets[0].getsockname()[1]
+    link = await connect_link(f"127.0.0.1:{port}", lambda *_: None, lambda _: None)
+    link._transport.write(b'["odd",1]\n')
+    link.send(CancelRequest(3))
+    async with asyncio.timeout(2):
+        while not received:
+            await asyncio.sleep(0.01)
+    assert received == [CancelRequest(3)]
+    link.close()
+    server.close()
+
+
 async def test_a_link_that_receives_invalid_data_is_closed():
     closed = asyncio.Event()
     loop = asyncio.get_running_loop()
