Send a retry that must not run twice on a new connection

Callers: told 503 'not run' for an order that was running.

Cause: a request and its retry have the same identity. A rejected one was sent again on the connection that had carried it, the most recently used one, and a server that wrote the earlier rejection once more was believed.

Change: a retry of a request that isn't idempotent gets a new connection, on which no duplicate of the first answer can arrive. First attempts have an identity that no connection has seen.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from time import monotonic, time
 from typing import TYPE_CHECKING
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 from attrs import define, field, frozen
@@ -41,8 +42,9 @@
     fault : str
         Injected fault, "" for none. "lose" runs requests and resets their connections,
         "shed" rejects them, "stray" sends a response with another request id before
-        the right one, "fail" responds with status 500, and "break" resets the
-        connection in the middle of a response body.
+        the right one, "fail" responds with status 500, "break" resets the connection
+        in the middle of a response body, and "repeat" rejects the first request of each
+        connection and sends this rejection again before the response to the next one.
     rate_limit : str
         Rate limit in requests per second that responses state, "" for none.
     arrivals : list of float
@@ -78,6 +80,10 @@
     _free_slots: asyncio.Semaphore | None = None
     _started_ms: int = 0
     _idle: asyncio.Event = field(factory=asyncio.Event)
+    #: Rejection that each connection got, for the fault "repeat".
+    _rejections: WeakKeyDictionary[asyncio.BaseTransport, bytes] = field(
+        factory=WeakKeyDictionary
+    )
 
     async def start(self) -> None:
         """Start listening and register the server."""
@@ -180,6 +186,8 @@
         body = await request.read()
         if self.fault == "shed" or self.waiting >= self.queue:
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
+        if self.fault == "repeat" and self._reject_or_repeat(request, request_id):
+            return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
         self.waiting += 1
         try:
             await self._free_slots.acquire()
@@ -206,6 +214,18 @@
             self._free_slots.release()
         return self._respond(request, headers)
 
+    def _reject_or_repeat(self, request: web.Request, request_id: str) -> bool:
+        """Repeat the rejection that the connection got; returns False if it had one."""
+        rejection = self._rejections.get(request.transport)
+        if rejection is None:
+            self._rejections[request.transport] = (
+                f"HTTP/1.1 503 Busy\r\nX-Request-Id: {request_id}\r\n"
+                "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            ).encode()
+            return True
+        request.transport.write(rejection)
+        return False
+
     def _abort_mid_response(self, request: web.Request, headers: dict) -> web.Response:
         """Send a part of a long response, then reset the connection."""
         head = f"X-Request-Id: {headers['X-Request-Id']}\r\nX-Response-Signature: x"
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -64,6 +64,9 @@
     chunked : bool
         Whether the body is sent with chunked transfer encoding, because its length is
         unknown.
+    new_connection : bool
+        Whether it is sent on a new connection. An earlier attempt has the same
+        identity, so a duplicate of the answer to that one could be taken for its own.
     exclusive : bool
         Whether it is sent on a new connection that carries no other request, so that
         no duplicate of another answer can be taken for its answer.
@@ -81,6 +84,7 @@
     request_id: bytes
     idempotent: bool
     chunked: bool = False
+    new_connection: bool = False
     exclusive: bool = False
     reuse_only: bool = False
     may_write: Callable[[], bool] = lambda: True
@@ -219,7 +223,7 @@
             if request.idempotent
             else _NON_IDEMPOTENT_IDLE_LIMIT_S
         )
-        if request.exclusive:
+        if request.exclusive or request.new_connection:
             connection = await pool.open_new()
         elif request.reuse_only:
             connection = await pool.acquire_idle(limit_s)
--- a/tests/runtime/fleet/test_fleet.py
+++ b/tests/runtime/fleet/test_fleet.py
@@ -102,6 +102,21 @@
         assert response.status == 200
 
 
+async def test_a_repeated_rejection_is_not_taken_for_that_of_a_retry(site):
+    """A caller was told "not run" while the retry on the same connection ran."""
+    claim = {"pathPrefix": "/claim/", "kind": "unsafe", "service": "maps"}
+    await site.store.put("op/config", make_configuration(7, claim=claim))
+    await asyncio.sleep(1.9)
+    for server in site.servers:
+        server.fault = "repeat"
+    for number in range(6):
+        site.runs.clear()
+        headers = {"X-Shard-Key": str(number * 9_000)}
+        response = await site.send("POST", "/claim/x", headers=headers)
+        assert response.status != 503 or not site.runs
+        assert len(site.runs) <= 1
+
+
 async def test_an_error_response_is_forwarded_with_its_signature(site):
     for server in site.servers:
         server.fault = "fail"
