Refuse requests at once that may outlast a planned stop

Callers: orders that were read late in the grace period of a stopping instance were passed on and then cut off without an answer, although they may not be repeated.

Cause: a stop refused new requests only in the last part of the grace period (1.2 of 6 s), whatever time they still had; one read just before could run for seconds.

Change: once the instance takes no new connections, a request whose deadline is later than the end of the process is refused as not run before it is sent, so its caller goes to another instance.

Evidence: test_a_request_that_may_outlast_the_stop_is_refused_at_once failed before (connection closed without an answer) and passes now; all 6 tests of graceful stops pass.

--- a/basilwick/runtime/fleet/failover_dispatcher.py
+++ b/basilwick/runtime/fleet/failover_dispatcher.py
@@ -13,6 +13,8 @@
 from basilwick.runtime.fleet.dispatch_runner import DispatchRunner, LocalDispatchClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from basilwick.core.dispatch.dispatcher import DispatchDecision
     from basilwick.core.dispatch.messages import DispatchRequest
     from basilwick.core.types import MonotonicSeconds, ServiceName
@@ -57,15 +59,35 @@
         Link to the leader.
     fallback : DispatchRunner
         Makes the decisions without the leader.
+    clock : callable
+        Local clock in seconds.
     """
 
-    def __init__(self, link: LeaderLink, fallback: DispatchRunner):
+    def __init__(
+        self,
+        link: LeaderLink,
+        fallback: DispatchRunner,
+        clock: Callable[[], MonotonicSeconds],
+    ):
         self._link = link
         self._fallback = LocalDispatchClient(fallback, "self")
         self._leader_client: LocalDispatchClient | None = None
         self._numbers = count(1)
         self._pending: dict[int, asyncio.Future[DispatchDecision | None]] = {}
         self._stopping = False
+        self._clock = clock
+        #: Local time at which the instance ends, once it refuses longer requests.
+        self._ends_at: MonotonicSeconds | None = None
+
+    def refuse_after(self, ends_at: MonotonicSeconds) -> None:
+        """Refuse requests that may still run when the instance ends.
+
+        Parameters
+        ----------
+        ends_at : float
+            Local time at which the instance ends.
+        """
+        self._ends_at = ends_at
 
     def refuse_waiting(self) -> None:
         """Refuse the requests that wait for a server, and all later ones."""
@@ -86,7 +108,9 @@
         """Return the decision and the client that the outcome is reported to."""
         request = evolve(request, number=next(self._numbers))
         client = self._choose_client()
-        if self._stopping:
+        deadline = self._clock() + request.time_left_s
+        may_outlast = self._ends_at is not None and deadline > self._ends_at
+        if self._stopping or may_outlast:
             return _make_stopping_refusal(request.number), client
         decision = await self._submit(client, request)
         if decision is None and client is not self._fallback:
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -118,7 +118,7 @@
             CapacityShare(slots=1),
         )
         self._fallback = DispatchRunner(fallback, read_clock)
-        self._dispatcher = FailoverDispatcher(self._link, self._fallback)
+        self._dispatcher = FailoverDispatcher(self._link, self._fallback, read_clock)
         self._request_handler = CallerRequestHandler(
             self._view,
             self._dispatcher,
@@ -202,6 +202,7 @@
         )
         await self._election.withdraw()
         await asyncio.sleep(max(0.0, stop_accepting_at - read_clock()))
+        self._dispatcher.refuse_after(shutdown_deadline)
         refuse_waiting_at = shutdown_deadline - grace_period_s * _REFUSE_WAITING_SHARE
         if not await self._caller_server.drain(refuse_waiting_at - read_clock()):
             self._dispatcher.refuse_waiting()
--- a/tests/runtime/fleet/test_graceful_stops.py
+++ b/tests/runtime/fleet/test_graceful_stops.py
@@ -72,6 +72,28 @@
     assert asyncio.get_running_loop().time() - started < 2.6
 
 
+async def test_a_request_that_may_outlast_the_stop_is_refused_at_once(site):
+    """An order that was read late in the grace period was sent and then cut off."""
+    for server in site.servers:
+        server.service_time_s = 3.0
+    site.runs.clear()
+    host, _, port = site.caller_addresses[1].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"POST /order/x HTTP/1.1\r\nHost: site.example\r\n")
+    stop = asyncio.create_task(site.instances.pop(1).close())
+    await asyncio.sleep(1.1)
+    fields = b"X-Request-Id: late\r\nX-Request-Deadline-Ms: 3000\r\n"
+    writer.write(fields + b"Content-Length: 0\r\n\r\n")
+    started = asyncio.get_running_loop().time()
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in head
+    assert asyncio.get_running_loop().time() - started < 0.3
+    assert not site.runs
+    writer.close()
+    await stop
+
+
 async def test_a_leader_that_stops_during_an_outage_leads_until_its_end(site):
     """No instance could take over for 7 s, and the grants of all keys expired."""
     leader = site.find_leader()
