Ignore numbers in header fields that are not finite

Callers: a request with the deadline 'nan' would make its instance lose the leader. JSON has no nan, so the dispatch request carried null, and the leader closes a link on a value of the wrong type. A server that states an endless warm-up would stay at its warm-up rate for good.

Cause: float() accepts nan and infinities. Change: they count as absent, like other unreadable numbers; found while the rate limit was decoded.

Evidence: test_numbers_without_a_meaning_count_as_absent failed for all four values before and passes now. That a link closes was read from the code, not played.

--- a/basilwick/platform/http_messages.py
+++ b/basilwick/platform/http_messages.py
@@ -197,13 +197,14 @@
 def _parse_rate_limit(value: bytes, upper_bound: float) -> float | None:
     """Return a stated rate limit up to a bound, None if it is unreadable."""
     rate_limit = _parse_number(value, None)
-    if rate_limit is None or not isfinite(rate_limit) or rate_limit < 0.0:
+    if rate_limit is None or rate_limit < 0.0:
         return None
     return min(rate_limit, upper_bound)
 
 
 def _parse_number(value: bytes, default: float | None) -> float | None:
     try:
-        return float(value)
+        number = float(value)
     except ValueError:
         return default
+    return number if isfinite(number) else default
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -278,6 +278,16 @@
     assert (metadata.warm_up_left_s, metadata.handover_token) == (0.25, "t")
 
 
+@pytest.mark.parametrize("value", [b"nan", b"inf", b"-inf", b"1e999"])
+def test_numbers_without_a_meaning_count_as_absent(value):
+    """A caller's deadline of nan closed the link to the leader."""
+    assert (
+        read_request_metadata([(b"X-Request-Deadline-Ms", value)]).time_left_s is None
+    )
+    metadata = read_response_metadata([(b"X-Warmup-Remaining-Ms", value)])
+    assert metadata.warm_up_left_s == 0.0
+
+
 @pytest.mark.parametrize(
     ("values", "rate_limit"),
     [
