Tell the deciding dispatcher a warm-up that a response states

Callers: a server that turned cold and said so in a response could be sent its full load by the leader.

Cause, the same class as the ignored rate limit: what a server states was kept by the instance that read the response, and the leader, which decides, did not hear of it. It knew of warm-ups from registrations alone.

Change: the report of a send carries the stated warm-up, as it carries the rate limit.

Evidence: test_a_warm_up_that_a_response_states_reaches_the_dispatcher failed before (500 requests in a second, 10 to 12 allowed) and passes now.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -148,10 +148,7 @@
         if pending is None or pending.server is None:
             return []
         service = self._get_service(pending.request.service)
-        if done.rate_limit is not None:
-            self._view.record_rate_limit(
-                pending.server, done.rate_limit, pending.assigned_at, now
-            )
+        self._record_statements(pending, done, now)
         self._selector.get_load(pending.server).finish(
             done.outcome, done.latency_s, now
         )
@@ -162,6 +159,17 @@
             )
         return list(self._serve_queue(self._find_queue(pending), now))
 
+    def _record_statements(
+        self, pending: PendingRequest, done: SendFinished, now: MonotonicSeconds
+    ) -> None:
+        """Record what a server stated about itself in its response."""
+        if done.rate_limit is not None:
+            self._view.record_rate_limit(
+                pending.server, done.rate_limit, pending.assigned_at, now
+            )
+        if done.warm_up_left_s:
+            self._view.extend_warm_up(pending.server, done.warm_up_left_s, now)
+
     def cancel(
         self, request_id: Hashable, now: MonotonicSeconds
     ) -> list[tuple[Hashable, DispatchDecision]]:
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -118,12 +118,15 @@
     rate_limit : float or None
         Requests per second that the server states it takes from all instances,
         `UNLIMITED_RATE` if it states no limit. None if this is not known.
+    warm_up_left_s : float
+        Seconds for which the server states that it stays cold.
     """
 
     number: int
     outcome: SendOutcome
     latency_s: float
     rate_limit: float | None = None
+    warm_up_left_s: float = 0.0
 
 
 @frozen
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -274,7 +274,7 @@
     def finish(self, finished: SendFinished) -> None:
         """Report the outcome of a send."""
         if self._version < _RATE_LIMIT_VERSION:
-            finished = evolve(finished, rate_limit=None)
+            finished = evolve(finished, rate_limit=None, warm_up_left_s=0.0)
         if self._link is not None:
             self._link.send(finished)
 
--- a/basilwick/runtime/fleet/response_recorder.py
+++ b/basilwick/runtime/fleet/response_recorder.py
@@ -73,7 +73,13 @@
         rate_limit = _get_rate_limit(result)
         if rate_limit is not None:
             self._record_rate_limit(server, rate_limit, sent_at)
-        return SendFinished(number, _classify_response(result), latency_s, rate_limit)
+        return SendFinished(
+            number,
+            _classify_response(result),
+            latency_s,
+            rate_limit,
+            result.metadata.warm_up_left_s,
+        )
 
     def _record_rate_limit(
         self, server: ServerName, rate_limit: float, sent_at: MonotonicSeconds
--- a/tests/core/dispatch/test_dispatcher.py
+++ b/tests/core/dispatch/test_dispatcher.py
@@ -226,6 +226,15 @@
     assert 5 <= count_assigned_in_a_second(harness) <= ORDERS.warm_up_rate + 2
 
 
+def test_a_warm_up_that_a_response_states_reaches_the_dispatcher():
+    """Only the instance that read the response kept the warm-up rate, no leader did."""
+    harness = DispatcherHarness(make_server("o0", slots=50))
+    harness.submit(make_request(9_000))
+    done = SendFinished(9_000, SendOutcome.OK, 0.05, warm_up_left_s=3.0)
+    harness.dispatcher.finish(9_000, done, 0.0)
+    assert 5 <= count_assigned_in_a_second(harness) <= ORDERS.warm_up_rate + 2
+
+
 def test_instances_without_a_leader_share_the_warm_up_rate():
     share = CapacityShare(slots=1, rate_fraction=0.1)
     harness = DispatcherHarness(
