--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -355,22 +355,13 @@
         ):
             return []
         queue.owners_checked_at = now
-        waiting = [entry[3] for entry in queue.on_time]
-        waiting += [entry[2] for entry in queue.late]
-        moved = [
-            pending
-            for pending in waiting
-            if not pending.ended
-            and self._owners.find_owner(queue.service, pending.request.key, now).server
-            != queue.owner
-        ]
-        if not moved:
-            return []
-        moved_ids = set(map(id, moved))
-        queue.on_time = sorted(e for e in queue.on_time if id(e[3]) not in moved_ids)
-        queue.late = sorted(e for e in queue.late if id(e[2]) not in moved_ids)
         decisions = []
-        for pending in moved:
+        for pending in queue.remove_if(
+            lambda waiting: (
+                self._owners.find_owner(queue.service, waiting.request.key, now).server
+                != queue.owner
+            )
+        ):
             decision = self._dispatch(pending, now)
             if decision is not None:
                 decisions.append(
--- a/basilwick/core/dispatch/wait_queues.py
+++ b/basilwick/core/dispatch/wait_queues.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 if TYPE_CHECKING:
-    from collections.abc import Hashable
+    from collections.abc import Callable, Hashable
 
     from basilwick.core.dispatch.messages import DispatchRequest
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
@@ -66,6 +66,19 @@
     #: Local time of the last check whether the requests' keys have changed owner.
     owners_checked_at: MonotonicSeconds = float("-inf")
 
+    def remove_if(
+        self, condition: Callable[[PendingRequest], bool]
+    ) -> list[PendingRequest]:
+        """Remove and return the waiting requests for which a condition holds."""
+        waiting = [entry[3] for entry in self.on_time]
+        waiting += [entry[2] for entry in self.late]
+        removed = [p for p in waiting if not p.ended and condition(p)]
+        if removed:
+            ids = set(map(id, removed))
+            self.on_time = sorted(e for e in self.on_time if id(e[3]) not in ids)
+            self.late = sorted(e for e in self.late if id(e[2]) not in ids)
+        return removed
+
     def count_ahead(self, priority: int, target_at: float) -> int:
         """Return the number of on-time requests served before a new one."""
         return sum(
--- a/basilwick/runtime/fleet/failover_dispatcher.py
+++ b/basilwick/runtime/fleet/failover_dispatcher.py
@@ -19,8 +19,8 @@
     from basilwick.core.dispatch.messages import DispatchRequest
     from basilwick.core.types import MonotonicSeconds, ServiceName
     from basilwick.runtime.fleet.dispatch_runner import DispatchClient
-    from basilwick.runtime.fleet.leader_election import StoredState
     from basilwick.runtime.fleet.leader_links import LeaderLink
+    from basilwick.runtime.fleet.stored_state import StoredState
 
 __all__ = ["FailoverDispatcher", "StoredOwners"]
 
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -22,11 +22,12 @@
 from basilwick.runtime.fleet.clock import read_clock
 from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 from basilwick.runtime.fleet.failover_dispatcher import FailoverDispatcher, StoredOwners
-from basilwick.runtime.fleet.leader_election import LeaderElection, StoredState
+from basilwick.runtime.fleet.leader_election import LeaderElection
 from basilwick.runtime.fleet.leader_links import LeaderLink, LinkListener
 from basilwick.runtime.fleet.leader_role import LeaderRole
 from basilwick.runtime.fleet.loops import run_periodically
 from basilwick.runtime.fleet.site_watch import SiteWatch
+from basilwick.runtime.fleet.stored_state import StoredState
 from basilwick.transport.exchange import Answer
 from basilwick.transport.http_server import HttpServer, RawResponse
 from basilwick.transport.server_client import ServerClient
--- a/basilwick/runtime/fleet/leader_election.py
+++ b/basilwick/runtime/fleet/leader_election.py
@@ -10,19 +10,17 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from attrs import frozen
 from loguru import logger
-from orjson import JSONDecodeError, dumps, loads
 
 from basilwick.core.errors import PlatformUnavailableError
-from basilwick.core.ranges.table import RangeTable
 from basilwick.platform.key_value_store import WriteResult
 from basilwick.runtime.fleet.leader_term import LeaderTerm
 from basilwick.runtime.fleet.loops import run_periodically
-from basilwick.runtime.fleet.stored_ranges import (
-    INTERNAL_PREFIX,
-    decode_ranges,
-    get_ranges_key,
+from basilwick.runtime.fleet.stored_state import (
+    LEADER_KEY,
+    LeaderRecord,
+    decode_leader_record,
+    encode_leader_record,
 )
 from basilwick.transport.link import LINK_VERSION
 
@@ -31,14 +29,13 @@
     from random import Random
 
     from basilwick.core.ranges.orders import OwnershipTimings
-    from basilwick.core.types import MonotonicSeconds, ServiceName
-    from basilwick.platform.key_value_store import Change, KeyValueStore
+    from basilwick.core.types import MonotonicSeconds
+    from basilwick.platform.key_value_store import KeyValueStore
     from basilwick.runtime.fleet.leader_links import LeaderLink
+    from basilwick.runtime.fleet.stored_state import StoredState
 
-__all__ = ["LeaderRecord", "LeaderElection", "StoredState"]
+__all__ = ["LeaderElection"]
 
-_LEADER_KEY = f"{INTERNAL_PREFIX}leader"
-_RANGES_PREFIX = get_ranges_key("")
 #: Interval in seconds between renewals of the leader's lease.
 _RENEWAL_INTERVAL_S = 0.5
 #: Interval in seconds between checks of who leads, without and with a live link to the
@@ -58,107 +55,6 @@
 _UNREACHABLE_AFTER_S = 0.6
 
 
-@frozen
-class LeaderRecord:
-    """Stored record that names the leader.
-
-    Attributes
-    ----------
-    instance : str
-        Name of the leader.
-    address : str
-        Address at which the leader accepts links.
-    lease : int
-        Lease to which the record is bound.
-    revision : int
-        Revision at which the record was written.
-    link_version : int
-        Link version of the leader's build.
-    """
-
-    instance: str
-    address: str
-    lease: int
-    revision: int
-    link_version: int = 1
-
-
-class StoredState:
-    """Last known state of the items that instances store in the key-value service.
-
-    These are the leader record and the ranges of the services.
-    """
-
-    prefix = INTERNAL_PREFIX
-
-    def __init__(self) -> None:
-        self.leader: LeaderRecord | None = None
-        self.tables: dict[ServiceName, RangeTable] = {}
-        self._table_revisions: dict[ServiceName, int] = {}
-
-    def apply(self, change: Change) -> None:
-        """Apply a change of an internal item."""
-        if change.key == _LEADER_KEY:
-            self._apply_leader(change)
-        elif change.key.startswith(_RANGES_PREFIX) and change.value is not None:
-            self._apply_ranges(change)
-
-    def remove_unlisted(self, keys: set[str], revision: int) -> None:
-        """Remove internal items that are missing from a complete listing.
-
-        Parameters
-        ----------
-        keys : set of str
-            Keys of the internal items in the listing.
-        revision : int
-            Revision of the listing.
-        """
-        if _LEADER_KEY in keys or self.leader is None:
-            return
-        if self.leader.revision <= revision:
-            self.leader = None
-
-    def _apply_ranges(self, change: Change) -> None:
-        service = change.key.removeprefix(_RANGES_PREFIX)
-        # A read that may be stale can return a value that is already known.
-        if change.revision <= self._table_revisions.get(service, 0):
-            return
-        try:
-            stored = decode_ranges(change.value)
-            self.tables[service] = RangeTable.restore(stored.ranges)
-        except ValueError as error:
-            logger.bind(key=change.key, reason=str(error)).warning(
-                "ignored unreadable stored ranges"
-            )
-            return
-        self._table_revisions[service] = change.revision
-
-    def _apply_leader(self, change: Change) -> None:
-        if self.leader is not None and change.revision < self.leader.revision:
-            return
-        self.leader = None
-        if change.value is None:
-            return
-        try:
-            self.leader = _decode_record(change.value, change.revision)
-        except ValueError as error:
-            logger.bind(reason=repr(error)).warning("cannot decode the leader record")
-
-
-def _decode_record(value: bytes, revision: int) -> LeaderRecord:
-    try:
-        data = loads(value)
-        return LeaderRecord(
-            data["instance"],
-            data["address"],
-            int(data["lease"]),
-            revision,
-            int(data.get("link_version", 1)),
-        )
-    except (JSONDecodeError, KeyError, TypeError) as error:
-        raise ValueError(f"invalid leader record {value[:100]!r}: {error!r}") from error
-
-
 class LeaderElection:
     """Takes part in the election of the leader.
 
@@ -326,7 +222,7 @@
 
     async def _check_record_exists(self) -> None:
         """Clear the known leader if its record is gone."""
-        item = await self._store.get(_LEADER_KEY, "read leader")
+        item = await self._store.get(LEADER_KEY, "read leader")
         if item is None:
             self._state.leader = None
 
@@ -359,21 +255,14 @@
         """
         sent_at = self._clock()
         lease = await self._store.create_lease(self._timings.lease_s, "lead")
-        value = dumps(
-            {
-                "instance": self._instance,
-                "address": self._address,
-                "lease": lease,
-                "link_version": LINK_VERSION,
-            }
-        )
+        value = encode_leader_record(self._instance, self._address, lease, LINK_VERSION)
         try:
             result, revision = await self._store.write(
-                _LEADER_KEY, value, 0, "lead", lease
+                LEADER_KEY, value, 0, "lead", lease
             )
         except PlatformUnavailableError:
             # The write may have taken effect.
-            item = await self._store.get(_LEADER_KEY, "read leader")
+            item = await self._store.get(LEADER_KEY, "read leader")
             if item is None or item.value != value:
                 raise
             result, revision = WriteResult.DONE, item.revision
@@ -385,11 +274,11 @@
         return LeaderTerm(lease, revision, sent_at, self._timings, self._clock)
 
     async def _read_record(self) -> None:
-        item = await self._store.get(_LEADER_KEY, "read leader")
+        item = await self._store.get(LEADER_KEY, "read leader")
         if item is None:
             self._state.leader = None
             return
-        self._state.leader = _decode_record(item.value, item.revision)
+        self._state.leader = decode_leader_record(item.value, item.revision)
 
     async def _renew(self, term: LeaderTerm) -> None:
         leader = self._state.leader
@@ -415,7 +304,7 @@
         if term is None:
             return
         try:
-            await self._store.remove(_LEADER_KEY, term.revision, "resign")
+            await self._store.remove(LEADER_KEY, term.revision, "resign")
         except PlatformUnavailableError as error:
             logger.bind(reason=str(error)).debug("leader record not removed yet")
             return
@@ -442,6 +331,6 @@
             return
         self._state.leader = None
         try:
-            await self._store.remove(_LEADER_KEY, term.revision, "resign")
+            await self._store.remove(LEADER_KEY, term.revision, "resign")
         except PlatformUnavailableError as error:
             logger.bind(reason=str(error)).info("leader record left to its lease")
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -49,8 +49,8 @@
 #: Interval in seconds between connection attempts, and between checks of a link with
 #: pending requests.
 _RETRY_INTERVAL_S = 0.1
-#: Link version from which a leader reads rate limits of servers.
-_RATE_LIMIT_VERSION = 2
+#: Link version from which a leader reads what servers state in their responses.
+_STATEMENTS_VERSION = 2
 #: Interval in seconds between checks of a link without pending requests.
 _IDLE_CHECK_INTERVAL_S = 0.3
 
@@ -273,7 +273,7 @@
 
     def finish(self, finished: SendFinished) -> None:
         """Report the outcome of a send."""
-        if self._version < _RATE_LIMIT_VERSION:
+        if self._version < _STATEMENTS_VERSION:
             finished = evolve(finished, rate_limit=None, warm_up_left_s=0.0)
         if self._link is not None:
             self._link.send(finished)
@@ -344,7 +344,7 @@
         self._link = link
         self._last_message_at = self._clock()
         link.send(self._hello)
-        if self._version >= _RATE_LIMIT_VERSION:
+        if self._version >= _STATEMENTS_VERSION:
             for server, rate_limit in self.list_rate_limits().items():
                 link.send(RateLimitReport(server, rate_limit))
         logger.bind(dependency="leader", address=address).info("linked to the leader")
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -45,8 +45,8 @@
     "encode_message",
 ]
 
-#: Version of the messages that this build sends and reads. Version 2 has rate limits
-#: of servers.
+#: Version of the messages that this build sends and reads. Version 2 tells the
+#: leader what servers state about themselves in responses.
 LINK_VERSION = 2
 
 _MESSAGE_TYPES = {
--- a/tests/runtime/fleet/test_site_watch.py
+++ b/tests/runtime/fleet/test_site_watch.py
@@ -17,9 +17,9 @@
 from basilwick.core.dispatch.site import SiteView
 from basilwick.metrics import FleetMetrics
 from basilwick.platform.key_value_store import Change, ChangeBatch, Item
-from basilwick.runtime.fleet.leader_election import StoredState
 from basilwick.runtime.fleet.leader_links import LeaderLink, LinkListener
 from basilwick.runtime.fleet.site_watch import SiteWatch
+from basilwick.runtime.fleet.stored_state import StoredState
 
 
 def encode_server(name):
