End the close of peer links although an exchange fails at that moment

PeerLinks.close() could wait without end (path of basilwick serve): grpclib turned the cancellation of an exchange into a failure, and the link opened the next connection. A link now knows that it is closed and ends instead.

Evidence: test_closing_ends_a_link_whose_exchange_fails_at_that_moment did not end before (its process had to be killed after 10 minutes) and passes now.

--- a/basilwick/transport/peers.py
+++ b/basilwick/transport/peers.py
@@ -159,9 +159,15 @@
         self._wake = asyncio.Event()
         self._unconfirmed_since: float | None = None
         self._failures = 0
+        self._closed = False
         self.used_at = monotonic()
         self.task = asyncio.create_task(self._run())
 
+    def close(self) -> None:
+        """Cancel the task; grpclib can turn this into a failure of the stream."""
+        self._closed = True
+        self.task.cancel()
+
     def send(self, message: Message) -> None:
         if isinstance(message, Heartbeat):
             # Only the newest heartbeat is of use to a receiver that was unreachable.
@@ -177,7 +183,7 @@
         self._failures = 0
 
     async def _run(self) -> None:
-        while True:
+        while not self._closed:
             host, _, port = self._address.rpartition(":")
             channel = Channel(host, int(port))
             try:
@@ -193,6 +199,8 @@
                 logger.exception("control connection failed peer={}", self._address)
             finally:
                 channel.close()
+            if self._closed:
+                return
             delay = min(_RECONNECT_MIN_S * 2**self._failures, _RECONNECT_MAX_S)
             self._failures = min(self._failures + 1, 10)
             await asyncio.sleep(delay)
@@ -252,11 +260,11 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        tasks = [link.task for link in self._links.values()]
+        links = list(self._links.values())
         self._links.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for link in links:
+            link.close()
+        await asyncio.gather(*(link.task for link in links), return_exceptions=True)
 
     def send(self, address: str, message: Message) -> None:
         """Queue a message; while the connection is down, old messages are discarded."""
@@ -276,7 +284,7 @@
         limit = monotonic() - _IDLE_AFTER_S
         for address, link in list(self._links.items()):
             if link.used_at < limit:
-                link.task.cancel()
+                link.close()
                 del self._links[address]
 
     async def fetch_changes(self, address: str, since: Revision) -> Changes | None:
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from asyncio import sleep
+from asyncio import CancelledError, sleep, timeout
 from socket import socket
 
 import pytest
 
 from basilwick.core.configuration import Changes, Entry
 from basilwick.core.messages import Heartbeat
-from basilwick.transport.peers import SILENT_AFTER_S, PeerLinks, PeerServer
+from basilwick.transport.peers import SILENT_AFTER_S, PeerLinks, PeerServer, _Link
 
 HEARTBEAT = Heartbeat(
     "a", "a#1", "dc-a", "127.0.0.1:1", "127.0.0.1:2", sent_at=1.5,
@@ -50,6 +50,23 @@
     assert changes == (CHANGES if expected else None)
 
 
+async def test_closing_ends_a_link_whose_exchange_fails_at_that_moment(monkeypatch):
+    # Guards against a close that never ended: grpclib can turn the cancellation of an
+    # exchange into a failure, after which the link was opened again.
+    async def fail_when_cancelled(link, channel):
+        try:
+            await sleep(30)
+        except CancelledError:
+            raise ConnectionError("the stream failed") from None
+
+    monkeypatch.setattr(_Link, "_exchange", fail_when_cancelled)
+    links = PeerLinks("key")
+    links.send("127.0.0.1:1", HEARTBEAT)
+    await sleep(0.05)
+    async with timeout(2):
+        await links.close()
+
+
 async def test_silent_connection_is_replaced(start_server):
     # Guards against the reuse of a connection that stays silent: a receiver that
     # confirms nothing must get a new stream, which repeats the elided strings.
