--- a/basilwick/fakes/proxy.py
+++ b/basilwick/fakes/proxy.py
@@ -11,7 +11,13 @@
 from attrs import define, field
 from orjson import dumps, loads
 
-__all__ = ["FaultProxy", "LinkFault"]
+__all__ = ["Bandwidth", "FaultProxy", "LinkFault"]
+
+#: Largest piece in bytes that is delivered at a time over a link of limited bandwidth.
+_PIECE_BYTES = 8192
+#: Bytes in transit in one direction of a connection over such a link, beyond which no
+#: more is read from the sender.
+_WINDOW_BYTES = 65_536
 
 
 class LinkFault(StrEnum):
@@ -36,6 +42,25 @@
 _RESPONSE_HOLDING_FAULTS = {LinkFault.HOLD_RESPONSES, LinkFault.HOLD_ALL}
 
 
+@define(eq=False)
+class Bandwidth:
+    """Bandwidth of a link, shared by all connections of the proxies that use it.
+
+    Attributes
+    ----------
+    bytes_per_s : float
+        Bytes per second that the link carries towards the callers.
+    """
+
+    bytes_per_s: float
+    _free_at: float = 0.0
+
+    def reserve(self, size: int, now: float) -> float:
+        """Reserve the time to transfer some bytes; returns when they have arrived."""
+        self._free_at = max(now, self._free_at) + size / self.bytes_per_s
+        return self._free_at
+
+
 @define(eq=False)
 class FaultProxy:
     """TCP proxy whose faults can be changed while it runs.
@@ -53,6 +78,8 @@
     control_port : int, optional
         Port of the HTTP endpoint ``PUT /faults``, which sets ``fault`` and ``delay_s``.
         By default there is no such endpoint.
+    bandwidth : Bandwidth, optional
+        Bandwidth of the link that carries the data to the callers.
     """
 
     target: str
@@ -61,6 +88,7 @@
     delay_s: float = 0.0
     control_port: int | None = None
     fault: LinkFault = LinkFault.NONE
+    bandwidth: Bandwidth | None = None
     _server: asyncio.Server | None = None
     _control_runner: web.AppRunner | None = None
     _pairs: set[_ConnectionPair] = field(factory=set)
@@ -122,15 +150,36 @@
         self._holding_faults = holding_faults
         self._carries_responses = responses
         self._pending: deque[tuple[float, bytes | None]] = deque()
+        self._pending_bytes = 0
+        self._paused = False
+        self.source: asyncio.Transport | None = None
         self.target: asyncio.Transport | None = None
 
     def push(self, data: bytes | None) -> None:
         """Accept received bytes, or None for the end of the stream."""
+        bandwidth = self._pair.proxy.bandwidth
+        if data is None or bandwidth is None or not self._carries_responses:
+            self._push_piece(data, asyncio.get_running_loop().time())
+            return
+        for start in range(0, len(data), _PIECE_BYTES):
+            piece = data[start : start + _PIECE_BYTES]
+            now = asyncio.get_running_loop().time()
+            self._push_piece(piece, bandwidth.reserve(len(piece), now))
+        if self._pending_bytes > _WINDOW_BYTES and not self._paused:
+            self._paused = True
+            self.source.pause_reading()
+
+    def _push_piece(self, data: bytes | None, arrives_at: float) -> None:
         loop = asyncio.get_running_loop()
-        delay_s = self._pair.proxy.delay_s
-        self._pending.append((loop.time() + delay_s, data))
-        if delay_s:
-            loop.call_later(delay_s, self.deliver)
+        if self._pending:
+            arrives_at = max(
+                arrives_at, self._pending[-1][0] - self._pair.proxy.delay_s
+            )
+        deliver_at = arrives_at + self._pair.proxy.delay_s
+        self._pending.append((deliver_at, data))
+        self._pending_bytes += len(data or b"")
+        if deliver_at > loop.time():
+            loop.call_at(deliver_at, self.deliver)
         else:
             self.deliver()
 
@@ -143,6 +192,10 @@
             if self.target is None or pair.proxy.fault in self._holding_faults:
                 return
             _, data = self._pending.popleft()
+            self._pending_bytes -= len(data or b"")
+            if self._paused and self._pending_bytes <= _WINDOW_BYTES:
+                self._paused = False
+                self.source.resume_reading()
             if pair.silent:
                 continue
             if data is None:
@@ -181,6 +234,7 @@
         self._outgoing = outgoing
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._incoming.source = transport
         self._outgoing.target = transport
         self._outgoing.deliver()
 
