Let reads of the key-value service go on while bytes arrive

Callers saw answers of old versions for as long as a configuration was large. Cause: each read had one second in all, whatever its size, kept nothing of what had arrived and began anew; 5 Mbit/s carry 625 KB in that time. A read now ends after a second without a byte, and after 15 s in all. Writes keep their second.

The storm of versions on slow links still fails: each instance reads every version as a whole.

--- a/basilwick/platform/key_value_store.py
+++ b/basilwick/platform/key_value_store.py
@@ -32,8 +32,14 @@
     "WriteResult",
 ]
 
-#: Timeout in seconds of a call, in addition to the time for which a watch waits.
-_RESPONSE_TIMEOUT_S = 1.0
+#: Timeout in seconds of a write. Its response is short.
+_WRITE_TIMEOUT_S = 1.0
+#: Time in seconds without any byte after which a read is abandoned, in addition to the
+#: time for which a watch waits. A long response takes its time on a slow link, and a
+#: read that began anew would take as long again.
+_READ_IDLE_TIMEOUT_S = 1.0
+#: Longest duration in seconds of a read.
+_MAX_READ_S = 15.0
 #: Largest accepted response in bytes. A page of items has about 1 MB, and the changes
 #: of several seconds can be a few times as large.
 _MAX_RESPONSE_BYTES = 16 << 20
@@ -41,6 +47,9 @@
 _DECODING_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
+_WRITE_TIMEOUT = ClientTimeout(total=_WRITE_TIMEOUT_S)
+
+
 class RevisionCompactedError(Exception):
     """The changes since a revision are no longer kept; list the items again."""
 
@@ -262,7 +271,7 @@
         data: bytes | None = None,
         wait_s: float = 0.0,
     ) -> _Response:
-        timeout = ClientTimeout(total=wait_s + _RESPONSE_TIMEOUT_S)
+        timeout = _WRITE_TIMEOUT if method != "GET" else _make_read_timeout(wait_s)
         headers = {"Content-Type": "application/json"} if data is not None else None
         started_at = asyncio.get_running_loop().time()
         raw = bytearray()
@@ -309,6 +318,14 @@
         return response.body
 
 
+def _make_read_timeout(wait_s: float) -> ClientTimeout:
+    """Return the timeout of a read whose response may start after a wait."""
+    idle_s = wait_s + _READ_IDLE_TIMEOUT_S
+    return ClientTimeout(
+        total=wait_s + _MAX_READ_S, sock_connect=_READ_IDLE_TIMEOUT_S, sock_read=idle_s
+    )
+
+
 @contextmanager
 def _reraise_decoding_errors(cause: str) -> Iterator[None]:
     """Report a response of an unexpected form as an unavailable service."""
--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -81,3 +81,34 @@
     with pytest.raises(PlatformUnavailableError):
         await store.get("k", "read")
     assert sent < 40 << 20
+
+
+async def test_a_read_goes_on_while_bytes_arrive(start_store):
+    """A long list on a slow link was cut off after a second and began anew."""
+    items = b",".join(
+        b'{"key":"servers/s%d","value":"","revision":%d}' % (n, n) for n in range(1, 8)
+    )
+    body = b'{"items":[' + items + b'],"currentRev":8}'
+
+    async def respond(writer):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode())
+        for start in range(0, len(body), 100):
+            await asyncio.sleep(0.4)
+            writer.write(body[start : start + 100])
+
+    store = await start_store(respond)
+    listed, revision = await store.list_items("", "list all")
+    assert len(listed) == 7
+    assert revision == 8
+
+
+async def test_a_read_without_bytes_is_abandoned_after_a_second(start_store):
+    async def respond(writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{")
+
+    store = await start_store(respond)
+    started_at = asyncio.get_running_loop().time()
+    with pytest.raises(PlatformUnavailableError):
+        await store.list_items("", "list all")
+    assert asyncio.get_running_loop().time() - started_at < 1.5
