Pass on differences of large values, and what an instance lacks

Versions of a large configuration were not in force in time on slow links. Cause: changes of more than 256 KB were not passed on, so each of 88 instances read every version whole (0.8 MB in base64, 1.3 s at 5 Mbit/s, more when a read contained several), and smaller ones were sent whole on each link, in front of the heartbeats.

The leader now sends the pieces in which a large value differs from its former version, compressed and in parts of 12 KB. An instance that lacks changes, or starts, asks the leader for them and gets only those, compressed, at most 16 instances at a time; it reads the service itself if no part comes for 2.5 s. Instances keep the items, so that a new leader can answer. Builds of link version 2 are sent what they read. Items of an older revision than the known one are no longer applied.

--- a/basilwick/core/dispatch/change_cursor.py
+++ b/basilwick/core/dispatch/change_cursor.py
@@ -20,7 +20,7 @@
     )
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["ChangeCursor", "MAX_LEADER_STALENESS_S"]
+__all__ = ["ChangeCursor", "MAX_LEADER_STALENESS_S", "is_fresh"]
 
 #: Longest time in seconds since the platform's service last answered the leader for
 #: which the leader's changes count as complete.
@@ -54,6 +54,10 @@
         self.advance(shared.revision)
         return changes
 
+    def covers(self, after: int, complete: bool) -> bool:
+        """Return whether changes after a revision leave no gap here."""
+        return complete or (self.revision is not None and after <= self.revision)
+
     def is_current(
         self,
         heartbeat: LeaderHeartbeat | None,
@@ -77,4 +81,11 @@
             or heartbeat.revision > self.revision
         ):
             return False
-        return heartbeat.platform_age_s + now - received_at <= MAX_LEADER_STALENESS_S
+        return is_fresh(heartbeat, received_at, now)
+
+
+def is_fresh(
+    heartbeat: LeaderHeartbeat, received_at: MonotonicSeconds, now: MonotonicSeconds
+) -> bool:
+    """Return whether the leader reached the platform's service a short time ago."""
+    return heartbeat.platform_age_s + now - received_at <= MAX_LEADER_STALENESS_S
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -10,6 +10,8 @@
 __all__ = [
     "Assigned",
     "CancelRequest",
+    "ChangesPart",
+    "ChangesRequest",
     "DispatchRequest",
     "Hello",
     "ItemChange",
@@ -56,11 +58,14 @@
     ----------
     cores : float
         Processor cores of the instance, 0 if unknown.
+    link_version : int
+        Link version of the instance's build, 0 if it is below 3.
     """
 
     instance: str
     data_centre: str
     cores: float = 0.0
+    link_version: int = 0
 
 
 @frozen
@@ -227,8 +232,51 @@
     changes: tuple[ItemChange, ...]
 
 
+@frozen
+class ChangesRequest:
+    """Asks the leader for the changes of the platform's service that are missing.
+
+    Attributes
+    ----------
+    after : int
+        Revision up to which the instance knows all changes; -1 if it knows none.
+    """
+
+    after: int
+
+
+@frozen
+class ChangesPart:
+    """Part of packed changes of the platform's service; see `packed_changes`.
+
+    Attributes
+    ----------
+    number : int
+        Identifies the parts that belong together.
+    part, part_count : int
+        Position of this part from 0, and the number of parts.
+    after, revision, after_outage : int, int and bool
+        As in `SharedChanges`.
+    complete : bool
+        Whether the changes are all items, whatever `after` is.
+    data : str
+        Bytes of this part in base64.
+    """
+
+    number: int
+    part: int
+    part_count: int
+    after: int
+    revision: int
+    after_outage: bool
+    complete: bool
+    data: str
+
+
 LinkMessage: TypeAlias = (
     Hello
+    | ChangesRequest
+    | ChangesPart
     | DispatchRequest
     | CancelRequest
     | SendFinished
--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -215,7 +215,7 @@
         if registration is None:
             return
         grace_until = self._platform_recovered_at + _REGISTRATION_GRACE_S
-        registration.removal_at = max(now, grace_until) if now < grace_until else now
+        registration.removal_at = max(now, grace_until)
         self.version += 1
 
     def retain_servers(self, names: set[ServerName], now: MonotonicSeconds) -> None:
@@ -245,6 +245,10 @@
         """Record that the platform's service answers again after an outage."""
         self._platform_recovered_at = now
 
+    def in_registration_grace(self, now: MonotonicSeconds) -> bool:
+        """Return whether registrations may be missing because of a recent outage."""
+        return now < self._platform_recovered_at + _REGISTRATION_GRACE_S
+
     def remove_expired_servers(self, now: MonotonicSeconds) -> list[ServerEntry]:
         """Remove servers whose registration expired and was not renewed in time.
 
--- a/basilwick/fakes/proxy.py
+++ b/basilwick/fakes/proxy.py
@@ -214,6 +214,7 @@
     def __init__(self, proxy: FaultProxy):
         self.proxy = proxy
         self.silent = False
+        self.open_ends = 2
         self.requests = _Stream(self, _REQUEST_HOLDING_FAULTS, responses=False)
         self.responses = _Stream(self, _RESPONSE_HOLDING_FAULTS, responses=True)
 
@@ -242,7 +243,9 @@
         self._incoming.push(data)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._pair.proxy._pairs.discard(self._pair)
+        self._pair.open_ends -= 1
+        if self._pair.open_ends == 0:
+            self._pair.proxy._pairs.discard(self._pair)
         self._incoming.push(None)
 
     # Backpressure: a slow receiver pauses its sender, which bounds the buffered data.
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -12,6 +12,8 @@
 from basilwick.core.dispatch.messages import (
     Assigned,
     CancelRequest,
+    ChangesPart,
+    ChangesRequest,
     DispatchRequest,
     Hello,
     LeaderHeartbeat,
@@ -20,14 +22,22 @@
     SendFinished,
     SharedChanges,
 )
+from basilwick.core.dispatch.packed_changes import PartCollector
+from basilwick.runtime.fleet.change_sender import PACKED_CHANGES_VERSION, ChangeSender
 from basilwick.runtime.fleet.loops import run_periodically
-from basilwick.transport.link import Link, connect_link, encode_message
+from basilwick.transport.link import (
+    LINK_VERSION,
+    Link,
+    connect_link,
+    encode_message,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from basilwick.core.dispatch.dispatcher import DispatchDecision
     from basilwick.core.dispatch.messages import LinkMessage
+    from basilwick.core.dispatch.packed_changes import PackedChanges
     from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
@@ -43,9 +53,6 @@
 _HEARTBEAT_GRACE_S = 0.25
 #: Time in seconds without any message after which a link is closed and reopened.
 _LINK_TIMEOUT_S = 1.0
-#: Largest message in bytes of changes of the platform's service that is broadcast. The
-#: other instances read larger ones from the service themselves.
-_MAX_BROADCAST_BYTES = 256 << 10
 #: Interval in seconds between connection attempts, and between checks of a link with
 #: pending requests.
 _RETRY_INTERVAL_S = 0.1
@@ -74,6 +81,8 @@
         self._task: asyncio.Task[None] | None = None
         self._links: set[Link] = set()
         self._runner: DispatchRunner | None = None
+        #: Sends the linked instances changes of the platform's service.
+        self.changes = ChangeSender()
         #: Adds this instance's state of the platform's service to a heartbeat.
         self.complete_heartbeat: Callable[[LeaderHeartbeat], LeaderHeartbeat] = (
             lambda heartbeat: heartbeat
@@ -107,16 +116,10 @@
         )
         return self.complete_heartbeat(heartbeat)
 
-    def broadcast_changes(self, changes: SharedChanges) -> None:
-        """Send changes of the platform's service to all linked instances."""
-        line = encode_message(changes)
-        if len(line) > _MAX_BROADCAST_BYTES:
-            logger.bind(bytes=len(line), revision=changes.revision).info(
-                "changes are too large to be passed on"
-            )
-            return
-        for link in list(self._links):
-            link.send_line(line)
+    @property
+    def links(self) -> list[Link]:
+        """Links of the other instances."""
+        return list(self._links)
 
     def set_leader_runner(self, runner: DispatchRunner | None) -> None:
         """Serve links with a runner while this instance leads; close them if None."""
@@ -125,6 +128,7 @@
             self._task.cancel()
             self._task = None
         if runner is None:
+            self.changes.close()
             for link in list(self._links):
                 link.close()
             return
@@ -145,6 +149,8 @@
             runner.record_rate_limit(message)
         elif isinstance(message, CancelRequest):
             runner.cancel(link, message.number)
+        elif isinstance(message, ChangesRequest):
+            self.changes.request_missing(link, message.after)
         elif isinstance(message, Hello):
             link.peer_hello = message
             self._links.add(link)
@@ -153,6 +159,7 @@
 
     def _handle_close(self, link: Link) -> None:
         self._links.discard(link)
+        self.changes.remove_link(link)
         if self._runner is not None:
             self._runner.remove_peer(link)
 
@@ -208,6 +215,11 @@
         self.connection_refused = False
         #: Called with the changes that the leader broadcasts.
         self.on_changes: Callable[[SharedChanges], None] | None = None
+        #: Called with changes that the leader has packed.
+        self.on_packed_changes: Callable[[PackedChanges], None] | None = None
+        self._parts = PartCollector()
+        #: Local time at which packed changes were requested or a part of them arrived.
+        self.transfer_at: MonotonicSeconds = float("-inf")
         #: Returns the rate limits of servers that a new leader is told.
         self.list_rate_limits: Callable[[], dict[ServerName, float]] = dict
 
@@ -227,6 +239,16 @@
         timeout_s = interval_s + _HEARTBEAT_GRACE_S
         return self._link is not None and self.last_message_age_s < timeout_s
 
+    @property
+    def has_leader_address(self) -> bool:
+        """Whether another instance is known to lead."""
+        return self._address is not None
+
+    @property
+    def sends_missing_changes(self) -> bool:
+        """Whether the leader answers requests for missing changes."""
+        return self.alive and self._version >= PACKED_CHANGES_VERSION
+
     @property
     def last_message_age_s(self) -> float:
         """Seconds since the last message of the leader."""
@@ -278,6 +300,12 @@
         if self._link is not None:
             self._link.send(finished)
 
+    def request_changes(self, after: int) -> None:
+        """Ask the leader for the changes after a revision, -1 for all items."""
+        self.transfer_at = self._clock()
+        if self._link is not None:
+            self._link.send(ChangesRequest(after))
+
     def cancel(self, number: int) -> None:
         """Withdraw a dispatch request, or the send that was assigned to it."""
         self._replies.pop(number, None)
@@ -295,6 +323,8 @@
         elif isinstance(message, SharedChanges):
             if self.on_changes is not None:
                 self.on_changes(message)
+        elif isinstance(message, ChangesPart):
+            self._collect_part(message)
         elif isinstance(message, Assigned | Refused):
             reply = self._replies.pop(message.number, None)
             if reply is None:
@@ -302,10 +332,22 @@
             else:
                 reply(message)
 
+    def _collect_part(self, part: ChangesPart) -> None:
+        self.transfer_at = self._last_message_at
+        try:
+            changes = self._parts.add(part)
+        except ValueError as error:
+            logger.bind(reason=str(error)).warning("ignored changes of the leader")
+            return
+        if changes is not None and self.on_packed_changes is not None:
+            self.on_packed_changes(changes)
+
     def _handle_close(self, link: Link) -> None:
         if link is not self._link:
             return
         self._link = self._heartbeat = None
+        self._parts.clear()
+        self.transfer_at = float("-inf")
         logger.bind(dependency="leader", address=self._address).warning(
             "lost the link to the leader"
         )
@@ -343,7 +385,10 @@
         self.connection_refused = False
         self._link = link
         self._last_message_at = self._clock()
-        link.send(self._hello)
+        if self._version >= PACKED_CHANGES_VERSION:
+            link.send(evolve(self._hello, link_version=LINK_VERSION))
+        else:
+            link.send(self._hello)
         if self._version >= _STATEMENTS_VERSION:
             for server, rate_limit in self.list_rate_limits().items():
                 link.send(RateLimitReport(server, rate_limit))
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -1,7 +1,8 @@
 """Keeps an instance's view of its site up to date from the key-value service.
 
-The leader watches the platform's key-value service for all instances and broadcasts the
-changes. Internal items, which the instances write themselves, are not broadcast.
+The leader watches the platform's key-value service for all instances, broadcasts the
+changes, and sends an instance the changes that it lacks. Internal items, which the
+instances write themselves, are not passed on.
 """
 
 from __future__ import annotations
@@ -12,18 +13,18 @@
 from attrs import evolve
 from loguru import logger
 
-from basilwick.core.dispatch.change_cursor import ChangeCursor
-from basilwick.core.dispatch.messages import ItemChange, LeaderHeartbeat, SharedChanges
-from basilwick.core.errors import PlatformUnavailableError
-from basilwick.platform.decoding import (
-    CONFIGURATION_KEY,
-    DATA_CENTRE_OUT_PREFIX,
-    SERVERS_PREFIX,
-    UnreadableEntryError,
-    decode_configuration,
-    decode_server,
+from basilwick.core.dispatch.change_cursor import ChangeCursor, is_fresh
+from basilwick.core.dispatch.known_items import ItemVersion, KnownItems
+from basilwick.core.dispatch.messages import LeaderHeartbeat, SharedChanges
+from basilwick.core.dispatch.packed_changes import (
+    MissingBaseError,
+    PackedChanges,
+    pack_changes,
+    unpack_changes,
 )
-from basilwick.platform.key_value_store import Change, RevisionCompactedError
+from basilwick.core.errors import PlatformUnavailableError
+from basilwick.platform.key_value_store import RevisionCompactedError
+from basilwick.runtime.fleet.item_applier import ItemApplier
 from basilwick.runtime.fleet.loops import run_periodically
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.types import MonotonicSeconds
     from basilwick.metrics import FleetMetrics
-    from basilwick.platform.key_value_store import KeyValueStore
+    from basilwick.platform.key_value_store import Change, Item, KeyValueStore
     from basilwick.runtime.fleet.leader_links import LeaderLink, LinkListener
 
 __all__ = ["SiteWatch", "InternalItemObserver"]
@@ -61,8 +62,16 @@
 #: Range in seconds of the random delay after a failed call.
 _MIN_RETRY_DELAY_S = 0.15
 _MAX_RETRY_DELAY_S = 0.4
-#: Maximum number of faults logged per configuration; the metric counts all.
-_MAX_LOGGED_FAULTS = 20
+#: Time in seconds without a part of the changes that the leader was asked for, after
+#: which an instance reads the service itself; it asks the leader again after a pause.
+_TRANSFER_TIMEOUT_S = 2.5
+_TRANSFER_PAUSE_S = 5.0
+#: Interval in seconds between checks while changes of the leader are expected.
+_TRANSFER_CHECK_INTERVAL_S = 0.05
+#: Time in seconds for which a starting instance waits until it knows whether there is a
+#: leader, and then until it is linked, before it lists all items itself.
+_FIND_LEADER_S = 0.2
+_LINK_LEADER_S = 0.8
 
 
 class InternalItemObserver(Protocol):
@@ -70,7 +79,7 @@
 
     prefix: str
 
-    def apply(self, change: Change) -> None:
+    def apply(self, change: ItemVersion) -> None:
         """Apply a change of an internal item."""
 
     def remove_unlisted(self, keys: set[str], revision: int) -> None:
@@ -118,8 +127,11 @@
         self._rng = rng
         self._link = link
         self._listener = listener
-        self._metrics = metrics
+        self._items = KnownItems()
+        self._applier = ItemApplier(view, clock, metrics)
         link.on_changes = self._apply_shared
+        link.on_packed_changes = self._apply_packed
+        listener.changes.source = self
         listener.complete_heartbeat = self._complete_heartbeat
         metrics.changes_age_seconds.set_function(
             lambda: min(clock() - self._current_at, _MAX_REPORTED_AGE_S)
@@ -132,6 +144,13 @@
         #: or broadcast by the leader.
         self._current_at: MonotonicSeconds = float("-inf")
         self._failing = False
+        #: Whether the leader was asked for missing changes, and the local time before
+        #: which it is not asked again.
+        self._requested = False
+        self._no_request_before: MonotonicSeconds = float("-inf")
+        #: Local time until which a starting instance waits for news of a leader; None
+        #: until the internal items were read.
+        self._leader_expected_until: MonotonicSeconds | None = None
         #: Revision of the last known change of an internal item.
         self._internal_revision = 0
         #: Revision up to which all changes of internal items are known.
@@ -173,6 +192,10 @@
             self._current_at = now
             await self._follow_leader(heartbeat, now)
             return _FOLLOWER_CHECK_INTERVAL_S
+        if self._ask_leader(heartbeat, heard_at, now):
+            return _TRANSFER_CHECK_INTERVAL_S
+        if self._cursor.revision is None and await self._expect_leader(now):
+            return _TRANSFER_CHECK_INTERVAL_S
         broadcasting = self._listener.instance_count > 1
         if now - self._current_at > _RELIST_AFTER_S:
             # The list lacks the changes that the leader broadcasts while it is read. A
@@ -190,6 +213,47 @@
         self._record_recovery()
         return _LEADER_UPDATE_INTERVAL_S if broadcasting else _UPDATE_INTERVAL_S
 
+    def _ask_leader(
+        self,
+        heartbeat: LeaderHeartbeat | None,
+        heard_at: MonotonicSeconds,
+        now: MonotonicSeconds,
+    ) -> bool:
+        """Ask the leader for missing changes; returns whether they are expected."""
+        knows_changes = (
+            heartbeat is not None
+            and heartbeat.revision > 0
+            and is_fresh(heartbeat, heard_at, now)
+            and self._link.sends_missing_changes
+        )
+        if not knows_changes or now < self._no_request_before:
+            self._requested = False
+            return False
+        if not self._requested:
+            self._requested = True
+            revision = self._cursor.revision
+            self._link.request_changes(-1 if revision is None else revision)
+            return True
+        if now - self._link.transfer_at < _TRANSFER_TIMEOUT_S:
+            return True
+        logger.bind(revision=self._cursor.revision).info(
+            "the leader sent no missing changes"
+        )
+        self._requested = False
+        self._no_request_before = now + _TRANSFER_PAUSE_S
+        return False
+
+    async def _expect_leader(self, now: MonotonicSeconds) -> bool:
+        """Return whether a starting instance should wait for a link to the leader."""
+        if self._leader_expected_until is None:
+            await self._read_internal_items(stale=False)
+            self._leader_expected_until = self._clock() + _FIND_LEADER_S
+            return True
+        expected_until = self._leader_expected_until
+        if self._link.has_leader_address and not self._link.connection_refused:
+            expected_until += _LINK_LEADER_S
+        return now < expected_until
+
     async def _follow_leader(
         self, heartbeat: LeaderHeartbeat, now: MonotonicSeconds
     ) -> None:
@@ -238,15 +302,23 @@
         items, revision = await self._store.list_items("", "list all")
         if self._failing:
             self._view.record_platform_recovery(self._clock())
-        keys = {item.key for item in items}
+        versions = [_make_version(item) for item in items]
+        internal = [version for version in versions if self._is_internal(version.key)]
+        for version in internal:
+            self._apply(version)
+        self._remove_unlisted_items({version.key for version in internal}, revision)
+        self._apply_listing(
+            [version for version in versions if not self._is_internal(version.key)],
+            revision,
+        )
+
+    def _apply_listing(self, items: Sequence[ItemVersion], revision: int) -> None:
+        """Apply all items that operators and servers wrote, and remove the others."""
         for item in items:
-            self._apply(Change(item.key, item.value, item.revision))
-        now = self._clock()
-        self._view.retain_servers(_list_names(keys, SERVERS_PREFIX), now)
-        out = _list_names(keys, DATA_CENTRE_OUT_PREFIX)
-        for data_centre in self._view.data_centres_out - out:
-            self._view.set_data_centre_out(data_centre, False, now)
-        self._remove_unlisted_items(keys, revision)
+            self._apply(item)
+        keys = {item.key for item in items}
+        self._items.record_listing(keys, revision)
+        self._applier.retain_listed(keys)
         self._cursor.advance(revision)
 
     async def _read_internal_items(self, stale: bool) -> None:
@@ -255,12 +327,11 @@
             self._observer.prefix, "list own items", stale
         )
         for item in items:
-            self._apply(Change(item.key, item.value, item.revision))
+            self._apply(_make_version(item))
         self._remove_unlisted_items({item.key for item in items}, revision)
 
     def _remove_unlisted_items(self, keys: set[str], revision: int) -> None:
-        internal_keys = {key for key in keys if self._is_internal(key)}
-        self._observer.remove_unlisted(internal_keys, revision)
+        self._observer.remove_unlisted(keys, revision)
         self._internal_known_revision = max(self._internal_known_revision, revision)
 
     async def _read_changes(self, wait_s: float) -> None:
@@ -270,38 +341,57 @@
         if after_outage:
             self._view.record_platform_recovery(self._clock())
         latest = _select_latest(read.changes)
-        # The leader may have broadcast later changes in the meantime.
-        known = self._cursor.revision
+        former = {change.key: self._items.find(change.key) for change in latest}
         for change in latest:
-            if change.revision > known or self._is_internal(change.key):
-                self._apply(change)
+            self._apply(_make_version(change))
         if self._internal_known_revision >= after:
             self._internal_known_revision = max(
                 self._internal_known_revision, read.revision
             )
         if read.revision > after:
             self._broadcast(
-                SharedChanges(after, read.revision, after_outage, ()), latest
+                SharedChanges(after, read.revision, after_outage, ()), latest, former
             )
         self._cursor.advance(read.revision)
 
     def _is_internal(self, key: str) -> bool:
         return key.startswith(self._observer.prefix)
 
-    def _broadcast(self, shared: SharedChanges, changes: Sequence[Change]) -> None:
+    def _broadcast(
+        self,
+        shared: SharedChanges,
+        changes: Sequence[Change],
+        former: dict[str, ItemVersion | None],
+    ) -> None:
         """Broadcast changes to the linked instances, which only a leader has."""
-        if self._listener.instance_count == 1:
-            return
-        rows = [
-            ItemChange(
-                change.key,
-                None if change.value is None else change.value.decode("latin-1"),
-                change.revision,
-            )
-            for change in changes
-            if not self._is_internal(change.key)
-        ]
-        self._listener.broadcast_changes(evolve(shared, changes=tuple(rows)))
+
+        def find_base(key: str) -> ItemVersion | None:
+            # Instances that know all changes up to `after` know this version.
+            base = former[key]
+            return base if base is not None and base.revision <= shared.after else None
+
+        items = [_make_version(c) for c in changes if not self._is_internal(c.key)]
+        self._listener.changes.broadcast(self._listener.links, shared, items, find_base)
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which all changes are known, 0 before the first listing."""
+        return self._cursor.revision or 0
+
+    def collect_missing(self, after: int) -> PackedChanges | None:
+        """Return the changes after a revision, None if they are not known here."""
+        revision = self._cursor.revision
+        if revision is None or after > revision:
+            return None
+        missing = self._items.list_missing(after)
+        after_outage = self._view.in_registration_grace(self._clock())
+        return PackedChanges(
+            max(0, after),
+            revision,
+            after_outage,
+            missing.complete,
+            pack_changes(missing.items),
+        )
 
     def _apply_shared(self, shared: SharedChanges) -> None:
         """Apply changes that the leader has broadcast."""
@@ -310,74 +400,51 @@
             self._view.record_platform_recovery(self._clock())
         for change in changes:
             value = None if change.value is None else change.value.encode("latin-1")
-            self._apply(Change(change.key, value, change.revision))
+            self._apply(ItemVersion(change.key, value, change.revision))
 
-    def _apply(self, change: Change) -> None:
-        key = change.key
+    def _apply_packed(self, packed: PackedChanges) -> None:
+        """Apply changes that the leader has packed."""
+        self._requested = False
+        known_revision = self._cursor.revision
+        if not self._cursor.covers(packed.after, packed.complete):
+            return
+        if known_revision is not None and packed.revision <= known_revision:
+            return
+        unpack_after = -1 if packed.complete else known_revision
         try:
-            if key == CONFIGURATION_KEY:
-                self._apply_configuration(change)
-            elif key.startswith(SERVERS_PREFIX):
-                self._apply_server(change)
-            elif key.startswith(DATA_CENTRE_OUT_PREFIX):
-                self._apply_data_centre_out(change)
-            elif self._is_internal(key):
-                self._internal_revision = max(self._internal_revision, change.revision)
-                self._observer.apply(change)
-        except UnreadableEntryError as error:
-            logger.bind(key=key, revision=change.revision, reason=str(error)).warning(
-                "passed over an unreadable entry"
+            items = unpack_changes(packed.data, unpack_after, self._items.find)
+        except MissingBaseError as error:
+            logger.bind(revision=packed.revision, reason=str(error)).debug(
+                "cannot apply changes of the leader; asking for them"
             )
-
-    def _apply_configuration(self, change: Change) -> None:
-        if change.value is None:
             return
-        decoded = decode_configuration(change.value, self._view.configuration)
-        configuration = decoded.configuration
-        if self._view.apply_configuration(configuration):
-            self._metrics.configuration_version.set(configuration.version)
-            self._metrics.unusable_resources.set(len(decoded.faults))
-            for fault in decoded.faults[:_MAX_LOGGED_FAULTS]:
-                logger.bind(version=configuration.version, reason=fault).warning(
-                    "resource of the configuration is unusable as written"
-                )
-            logger.bind(
-                version=configuration.version,
-                revision=change.revision,
-                routes=len(configuration.routes),
-            ).info("configuration in force")
-
-    def _apply_server(self, change: Change) -> None:
-        name = change.key.removeprefix(SERVERS_PREFIX)
-        now = self._clock()
-        if change.value is None:
-            self._view.remove_server(name, now)
-            logger.bind(server=name, revision=change.revision).info("server left")
+        except ValueError as error:
+            logger.bind(revision=packed.revision, reason=str(error)).warning(
+                "ignored changes of the leader"
+            )
             return
-        server = decode_server(name, change.value)
-        if self._view.apply_server(server, now):
-            logger.bind(
-                server=name,
-                service=server.service,
-                leaving=server.leaving,
-                warm_up_left_s=server.warm_up_left_s,
-                revision=change.revision,
-            ).info("server registered")
-
-    def _apply_data_centre_out(self, change: Change) -> None:
-        data_centre = change.key.removeprefix(DATA_CENTRE_OUT_PREFIX)
-        out = change.value is not None
-        self._view.set_data_centre_out(data_centre, out, self._clock())
-        logger.bind(data_centre=data_centre, out=out, revision=change.revision).info(
-            "data centre taken out" if out else "data centre taken back"
-        )
+        if packed.after_outage:
+            self._view.record_platform_recovery(self._clock())
+        if packed.complete:
+            self._apply_listing(items, packed.revision)
+            return
+        for item in items:
+            self._apply(item)
+        self._cursor.advance(packed.revision)
+
+    def _apply(self, item: ItemVersion) -> None:
+        if self._is_internal(item.key):
+            self._internal_revision = max(self._internal_revision, item.revision)
+            self._observer.apply(item)
+        elif self._items.record(item):
+            self._applier.apply(item)
+
+
+def _make_version(item: Item | Change) -> ItemVersion:
+    return ItemVersion(item.key, item.value, item.revision)
 
 
 def _select_latest(changes: Sequence[Change]) -> list[Change]:
     """Return the last change of each key, in order."""
     latest = {change.key: change for change in changes}
     return [change for change in changes if latest[change.key] is change]
-
-
-def _list_names(keys: set[str], prefix: str) -> set[str]:
-    return {key.removeprefix(prefix) for key in keys if key.startswith(prefix)}
--- a/basilwick/runtime/fleet/stored_state.py
+++ b/basilwick/runtime/fleet/stored_state.py
@@ -16,8 +16,8 @@
 )
 
 if TYPE_CHECKING:
+    from basilwick.core.dispatch.known_items import ItemVersion
     from basilwick.core.types import ServiceName
-    from basilwick.platform.key_value_store import Change
 
 __all__ = [
     "LEADER_KEY",
@@ -70,7 +70,7 @@
         self.tables: dict[ServiceName, RangeTable] = {}
         self._table_revisions: dict[ServiceName, int] = {}
 
-    def apply(self, change: Change) -> None:
+    def apply(self, change: ItemVersion) -> None:
         """Apply a change of an internal item."""
         if change.key == LEADER_KEY:
             self._apply_leader(change)
@@ -92,7 +92,7 @@
         if self.leader.revision <= revision:
             self.leader = None
 
-    def _apply_ranges(self, change: Change) -> None:
+    def _apply_ranges(self, change: ItemVersion) -> None:
         service = change.key.removeprefix(_RANGES_PREFIX)
         # A read that may be stale can return a value that is already known.
         if change.revision <= self._table_revisions.get(service, 0):
@@ -107,7 +107,7 @@
             return
         self._table_revisions[service] = change.revision
 
-    def _apply_leader(self, change: Change) -> None:
+    def _apply_leader(self, change: ItemVersion) -> None:
         if self.leader is not None and change.revision < self.leader.revision:
             return
         self.leader = None
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -21,6 +21,8 @@
 from basilwick.core.dispatch.messages import (
     Assigned,
     CancelRequest,
+    ChangesPart,
+    ChangesRequest,
     DispatchRequest,
     Hello,
     ItemChange,
@@ -46,16 +48,19 @@
 ]
 
 #: Version of the messages that this build sends and reads. Version 2 tells the
-#: leader what servers state about themselves in responses.
-LINK_VERSION = 2
+#: leader what servers state about themselves in responses. Version 3 passes on large
+#: changes of the platform's service, and answers requests for missing ones.
+LINK_VERSION = 3
 
 _MESSAGE_TYPES = {
     "ask": DispatchRequest,
     "beat": LeaderHeartbeat,
     "cancel": CancelRequest,
+    "changes": ChangesPart,
     "done": SendFinished,
     "hello": Hello,
     "limit": RateLimitReport,
+    "missing": ChangesRequest,
     "refused": Refused,
     "send": Assigned,
     "shared": SharedChanges,
@@ -185,6 +190,16 @@
         self._transport = None
         self._on_close(self)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that are buffered because the peer or the network is slow."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
+    @property
+    def closed(self) -> bool:
+        """Whether the link no longer carries messages."""
+        return self._transport is None or self._transport.is_closing()
+
     def send(self, message: LinkMessage) -> None:
         """Send a message; does nothing on a closed link."""
         self.send_line(encode_message(message))
--- a/tests/runtime/fleet/test_leader_links.py
+++ b/tests/runtime/fleet/test_leader_links.py
@@ -7,17 +7,21 @@
 
 import pytest
 
+from basilwick.core.dispatch.known_items import ItemVersion
 from basilwick.core.dispatch.messages import (
+    ChangesPart,
     Hello,
     RateLimitReport,
     SendFinished,
     SendOutcome,
+    SharedChanges,
 )
+from basilwick.runtime.fleet.change_sender import ChangeSender
 from basilwick.runtime.fleet.leader_links import (
     LeaderLink,
     compute_heartbeat_interval,
 )
-from basilwick.transport.link import Link
+from basilwick.transport.link import Link, decode_message
 
 
 @pytest.mark.parametrize("instances", [1, 10, 60, 195, 6_568])
@@ -56,3 +60,60 @@
     reports = [m for m in received if isinstance(m, RateLimitReport)]
     assert reports == ([RateLimitReport("s", 13.5)] if version == 2 else [])
     assert received[-1].rate_limit == (7.0 if version == 2 else None)
+
+
+@pytest.mark.parametrize(("version", "told"), [(1, 0), (2, 0), (3, 3)])
+async def test_a_leader_is_told_the_link_version_if_its_build_reads_it(version, told):
+    received = []
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: Link(lambda _, message: received.append(message), lambda _: None),
+        "127.0.0.1",
+        0,
+    )
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    link = LeaderLink(Hello("i", "a"), monotonic)
+    link.set_leader_address(address, version)
+    await link.start()
+    async with asyncio.timeout(2):
+        while not received:
+            await asyncio.sleep(0.01)
+    assert received[0].link_version == told
+    assert link.sends_missing_changes == (version == 3)
+    await link.close()
+    server.close()
+
+
+class RecordingLink:
+    """Link that records the messages sent on it."""
+
+    unsent_bytes = 0
+    closed = False
+
+    def __init__(self, link_version):
+        self.peer_hello = Hello("i", "a", 0.0, link_version)
+        self.messages = []
+
+    def send_line(self, line):
+        self.messages.append(decode_message(line))
+
+
+@pytest.mark.parametrize(
+    ("size", "earlier_build", "this_build"),
+    [
+        (100, SharedChanges, SharedChanges),
+        (100_000, SharedChanges, ChangesPart),
+        (400_000, None, ChangesPart),
+    ],
+)
+def test_builds_side_by_side_get_the_changes_that_they_read(
+    size, earlier_build, this_build
+):
+    links = {version: RecordingLink(version) for version in (0, 3)}
+    item = ItemVersion("op/config", b"{" * size, 6)
+    shared = SharedChanges(4, 6, False, ())
+    ChangeSender().broadcast(links.values(), shared, [item], lambda key: None)
+    types = [
+        type(link.messages[0]) if link.messages else None for link in links.values()
+    ]
+    assert types == [earlier_build, this_build]
--- a/tests/runtime/fleet/test_site_watch.py
+++ b/tests/runtime/fleet/test_site_watch.py
@@ -87,11 +87,18 @@
     return SharedChanges(after, change.revision, False, rows)
 
 
+async def start_watch(watch, now):
+    """Update a starting instance until it has listed all items."""
+    while watch.revision == 0:
+        await watch._update(now[0])
+        now[0] += 0.3
+
+
 async def test_a_change_broadcast_during_a_listing_is_not_lost(watch_setup):
     """The listing lacked the new server, and no later update added it."""
     watch, store, view, now = watch_setup
     store.list_allowed.set()
-    await watch._update(now[0])
+    await start_watch(watch, now)
     now[0] = 10.0
     store.list_allowed.clear()
     listing = asyncio.create_task(watch._update(now[0]))
@@ -108,7 +115,7 @@
 async def test_broadcast_changes_are_applied(watch_setup):
     watch, store, view, now = watch_setup
     store.list_allowed.set()
-    await watch._update(now[0])
+    await start_watch(watch, now)
     watch._apply_shared(make_shared_changes(store.put("s2"), after=2))
     assert view.get_server("s2") is not None
     assert watch._complete_heartbeat(LeaderHeartbeat(2)).revision == 3
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -9,6 +9,8 @@
 from basilwick.core.dispatch.messages import (
     Assigned,
     CancelRequest,
+    ChangesPart,
+    ChangesRequest,
     DispatchRequest,
     Hello,
     ItemChange,
@@ -32,6 +34,9 @@
     [
         Hello("i", "a"),
         DispatchRequest(1, "s", 5, 2, 0.2, 1.0, 2),
+        Hello("i", "a", 0.4, 3),
+        ChangesRequest(-1),
+        ChangesPart(1, 0, 2, 4, 9, False, True, "YQ=="),
         CancelRequest(3),
         SendFinished(4, SendOutcome.SHED, 0.5),
         SendFinished(4, SendOutcome.OK, 0.5, 13.5),
