Decode only the routes and services that changed

Resources whose definition is that of the former version now keep their decoded form, and the table keeps the round robin of a route by its name.

--- a/basilwick/core/dispatch/routes.py
+++ b/basilwick/core/dispatch/routes.py
@@ -21,15 +21,15 @@
     within one request of its share.
     """
 
-    _route: Route
+    route: Route
     _current_weights: list[float] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._current_weights = [0.0] * len(self._route.targets)
+        self._current_weights = [0.0] * len(self.route.targets)
 
     def choose(self) -> ServiceName:
         """Return the service of the next request."""
-        targets = self._route.targets
+        targets = self.route.targets
         if len(targets) == 1:
             return targets[0].service
         total = 0.0
@@ -47,7 +47,8 @@
 
     version: int = -1
     _routes_by_host: dict[str, dict[str, Route]] = field(factory=dict)
-    _balancers: dict[Route, WeightedRoundRobin] = field(factory=dict)
+    #: Round robin of each route by the route's name.
+    _balancers: dict[str, WeightedRoundRobin] = field(factory=dict)
 
     def load(self, configuration: SiteConfiguration) -> None:
         """Replace all routes; unchanged routes keep the state of their round robin."""
@@ -56,7 +57,10 @@
         balancers = {}
         for route in configuration.routes:
             self._routes_by_host.setdefault(route.host, {})[route.prefix] = route
-            balancers[route] = self._balancers.get(route) or WeightedRoundRobin(route)
+            balancer = self._balancers.get(route.name)
+            if balancer is None or balancer.route != route:
+                balancer = WeightedRoundRobin(route)
+            balancers[route.name] = balancer
         self._balancers = balancers
 
     def find(self, host: str, target: str) -> Route | None:
@@ -84,4 +88,4 @@
 
     def choose_service(self, route: Route) -> ServiceName:
         """Return the service of the next request of a route."""
-        return self._balancers[route].choose()
+        return self._balancers[route.name].choose()
--- a/basilwick/platform/decoding.py
+++ b/basilwick/platform/decoding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ipaddress import ip_address
-from typing import Any
+from typing import Any, TypeAlias
 
 from attrs import frozen
 from orjson import JSONDecodeError, loads
@@ -22,6 +22,7 @@
     "CONFIGURATION_KEY",
     "DATA_CENTRE_OUT_PREFIX",
     "SERVERS_PREFIX",
+    "ConfigurationDecoder",
     "DecodedConfiguration",
     "UnreadableEntryError",
     "decode_configuration",
@@ -60,37 +61,54 @@
     faults: tuple[str, ...] = ()
 
 
-def decode_configuration(
-    value: bytes, present: SiteConfiguration | None = None
-) -> DecodedConfiguration:
-    """Decode a configuration, each resource independently of the others.
+class ConfigurationDecoder:
+    """Decodes successive configurations.
 
-    A resource that cannot be used keeps its definition in the present configuration. A
-    route that has none there refuses its requests, provided that its host and path
-    prefix are readable. Resources of an unknown kind are ignored.
+    Most resources are the same in the next configuration; these are not decoded again.
+    """
 
-    Parameters
-    ----------
-    value : bytes
-        Stored configuration.
-    present : SiteConfiguration, optional
-        Configuration in force.
+    def __init__(self) -> None:
+        self._sound: _SoundResources = {}
+
+    def decode(
+        self, value: bytes, present: SiteConfiguration | None = None
+    ) -> DecodedConfiguration:
+        """Decode a configuration, each resource independently of the others.
+
+        A resource that cannot be used keeps its definition in the present
+        configuration. A route that has none there refuses its requests, provided that
+        its host and path prefix are readable. Resources of an unknown kind are ignored.
+
+        Parameters
+        ----------
+        value : bytes
+            Stored configuration.
+        present : SiteConfiguration, optional
+            Configuration in force.
+
+        Raises
+        ------
+        UnreadableEntryError
+            If the value has no list of resources or no version.
+        """
+        try:
+            data = loads(value)
+            version = _parse_version(data["version"])
+            resources = list(data["resources"])
+        except (JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise UnreadableEntryError(f"configuration: {error!r}") from error
+        builder = _ConfigurationBuilder(present, self._sound)
+        for resource in resources:
+            builder.add(resource)
+        self._sound = builder.sound
+        return DecodedConfiguration(builder.build(version), tuple(builder.faults))
 
-    Raises
-    ------
-    UnreadableEntryError
-        If the value has no list of resources or no version.
-    """
-    try:
-        data = loads(value)
-        version = _parse_version(data["version"])
-        resources = list(data["resources"])
-    except (JSONDecodeError, KeyError, TypeError, ValueError) as error:
-        raise UnreadableEntryError(f"configuration: {error!r}") from error
-    builder = _ConfigurationBuilder(present)
-    for resource in resources:
-        builder.add(resource)
-    return DecodedConfiguration(builder.build(version), tuple(builder.faults))
+
+def decode_configuration(
+    value: bytes, present: SiteConfiguration | None = None
+) -> DecodedConfiguration:
+    """Decode a single configuration; see `ConfigurationDecoder.decode`."""
+    return ConfigurationDecoder().decode(value, present)
 
 
 def decode_server(name: str, value: bytes) -> ServerEntry:
@@ -120,11 +138,19 @@
     return entry
 
 
+#: Definition and decoded form of resources by kind and name.
+_SoundResources: TypeAlias = dict[
+    tuple[str, str], tuple[dict[str, Any], Route | ServiceSpec]
+]
+
+
 class _ConfigurationBuilder:
     """Collects the usable resources of a configuration and the faults of the others."""
 
-    def __init__(self, present: SiteConfiguration | None):
+    def __init__(self, present: SiteConfiguration | None, former: _SoundResources):
         self.faults: list[str] = []
+        self.sound: _SoundResources = {}
+        self._former = former
         self._routes: dict[str, Route] = {}
         self._services: dict[str, ServiceSpec] = {}
         self._limits = CallerLimits() if present is None else present.limits
@@ -145,10 +171,8 @@
             self.faults.append(f"resource {str(resource)[:100]}: {error!r}")
             return
         try:
-            if kind == "routes":
-                self._add_route(name, spec)
-            elif kind == "services":
-                self._services[name] = _decode_service(name, spec)
+            if kind in ("routes", "services"):
+                self._add_named(kind, name, spec)
             elif kind == "limits":
                 self._limits = _decode_limits(spec)
         except _DECODING_ERRORS as error:
@@ -170,14 +194,22 @@
         routes = tuple(self._routes.values())
         return SiteConfiguration(version, routes, self._services, self._limits)
 
-    def _add_route(self, name: str, spec: dict[str, Any]) -> None:
-        route = _decode_route(name, spec)
-        self._routes[name] = route
-        if spec["kind"] not in _OPERATION_BY_KIND:
-            self.faults.append(
-                f"route {name!r} has unknown kind {spec['kind']!r}; its requests "
-                "run at most once"
-            )
+    def _add_named(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Decode a route or a service, unless its definition is the former one."""
+        former_spec, decoded = self._former.get((kind, name), (None, None))
+        if former_spec != spec:
+            decode = _decode_route if kind == "routes" else _decode_service
+            decoded = decode(name, spec)
+        if isinstance(decoded, Route):
+            self._routes[name] = decoded
+            if spec["kind"] not in _OPERATION_BY_KIND:
+                self.faults.append(
+                    f"route {name!r} has unknown kind {spec['kind']!r}; its requests "
+                    "run at most once"
+                )
+        else:
+            self._services[name] = decoded
+        self.sound[kind, name] = (spec, decoded)
 
     def _add_fallback_route(self, name: str, spec: dict[str, Any]) -> None:
         """Add the definition in force, or else a route that refuses its requests."""
--- a/basilwick/runtime/fleet/item_applier.py
+++ b/basilwick/runtime/fleet/item_applier.py
@@ -10,8 +10,8 @@
     CONFIGURATION_KEY,
     DATA_CENTRE_OUT_PREFIX,
     SERVERS_PREFIX,
+    ConfigurationDecoder,
     UnreadableEntryError,
-    decode_configuration,
     decode_server,
 )
 
@@ -51,6 +51,7 @@
         self._view = view
         self._clock = clock
         self._metrics = metrics
+        self._decoder = ConfigurationDecoder()
 
     def apply(self, item: ItemVersion) -> None:
         """Apply a new version of an item."""
@@ -77,7 +78,7 @@
     def _apply_configuration(self, item: ItemVersion) -> None:
         if item.value is None:
             return
-        decoded = decode_configuration(item.value, self._view.configuration)
+        decoded = self._decoder.decode(item.value, self._view.configuration)
         configuration = decoded.configuration
         if self._view.apply_configuration(configuration):
             self._metrics.configuration_version.set(configuration.version)
