Answer 404 only if all changes were known a short time before

An instance that was behind told callers that a route does not exist which had been added and acknowledged; clients don't repeat a 404. Cause: an instance answered from what it knew, however old. Requests without a route now get 503 with Retry-After (not run, come back) if the instance has not known all changes for 1.5 s; the log line tells the age. Requests with a route are served as before, also on instances that are cut off.

--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -49,6 +49,9 @@
 _RESPONSE_MARGIN_S = 0.01
 #: Retry-After in seconds while the instance has not received a configuration yet.
 _NO_CONFIGURATION_RETRY_S = 0.3
+#: Largest age in seconds of the known changes at which a request without a route is
+#: answered 404. With older ones, the route may have been added since.
+_MAX_NO_ROUTE_AGE_S = 1.5
 #: Retry-After in seconds for a route whose definition is invalid. The route works again
 #: once operators publish a corrected version.
 _UNUSABLE_ROUTE_RETRY_S = 2.0
@@ -114,6 +117,8 @@
         Counts and measures requests.
     data_centre : str
         Data centre of this instance.
+    get_changes_age : callable
+        Returns the seconds since all changes of the configuration were known.
     """
 
     def __init__(
@@ -124,6 +129,7 @@
         clock: Callable[[], MonotonicSeconds],
         metrics: FleetMetrics,
         data_centre: str,
+        get_changes_age: Callable[[], float],
     ):
         self._view = view
         self._dispatcher = dispatcher
@@ -131,6 +137,7 @@
         self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
+        self._get_changes_age = get_changes_age
         self._routes = RouteTable()
         self._wait_estimator = CallerWaitEstimator()
         self._response_sizes = ResponseSizeEstimator()
@@ -172,8 +179,7 @@
             self._response_sizes.retain_routes(configuration.routes)
         route = self._routes.find(raw.headers.get("Host", ""), raw.raw_path)
         if route is None:
-            self._log_no_route(raw, metadata, configuration.version)
-            return Answer(404)
+            return self._reject_without_route(raw, metadata, configuration.version)
         if not route.targets:
             return self._reject_unusable_route(route, metadata, configuration.version)
         timeout_s = route.timeout_s
@@ -372,17 +378,24 @@
         )
         return _make_unavailable_response(_UNUSABLE_ROUTE_RETRY_S)
 
-    def _log_no_route(
+    def _reject_without_route(
         self, raw: BaseRequest, metadata: RequestMetadata, version: int
-    ) -> None:
+    ) -> Answer:
+        """Answer a request that has no route in the known configuration."""
+        age_s = self._get_changes_age()
+        answer = Answer(404)
+        if age_s > _MAX_NO_ROUTE_AGE_S:
+            answer = _make_unavailable_response(_NO_CONFIGURATION_RETRY_S)
         log_request_line(
             "request has no route",
             request=metadata.request_id.decode("latin-1"),
             host=raw.headers.get("Host", "")[:100],
             path=raw.raw_path[:100],
             version=version,
-            status=404,
+            changes_age_ms=round(age_s * 1000),
+            status=answer.status,
         )
+        return answer
 
 
 def _make_unavailable_response(retry_after_s: float, close: bool = False) -> Answer:
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -127,6 +127,7 @@
             read_clock,
             self.metrics,
             deployment.data_centre,
+            self._watch.get_changes_age,
         )
         self._election = LeaderElection(
             deployment.instance,
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -133,9 +133,7 @@
         link.on_packed_changes = self._apply_packed
         listener.changes.source = self
         listener.complete_heartbeat = self._complete_heartbeat
-        metrics.changes_age_seconds.set_function(
-            lambda: min(clock() - self._current_at, _MAX_REPORTED_AGE_S)
-        )
+        metrics.changes_age_seconds.set_function(self.get_changes_age)
         self._cursor = ChangeCursor()
         self._task: asyncio.Task[None] | None = None
         #: Local time of the last response of the key-value service.
@@ -169,6 +167,15 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def get_changes_age(self) -> float:
+        """Return the seconds since all changes of the service were last known."""
+        now = self._clock()
+        heartbeat, heard_at = self._link.heartbeat
+        known_at = self._current_at
+        if self._cursor.is_current(heartbeat, heard_at, now):
+            known_at = max(known_at, heard_at - heartbeat.platform_age_s)
+        return min(now - known_at, _MAX_REPORTED_AGE_S)
+
     async def _run_step(self) -> float:
         """Update once; returns the pause in seconds."""
         sent_at = self._clock()
@@ -189,7 +196,9 @@
         """Apply new changes; returns the interval in seconds to the next update."""
         heartbeat, heard_at = self._link.heartbeat
         if self._cursor.is_current(heartbeat, heard_at, now):
-            self._current_at = now
+            self._current_at = max(
+                self._current_at, heard_at - heartbeat.platform_age_s
+            )
             await self._follow_leader(heartbeat, now)
             return _FOLLOWER_CHECK_INTERVAL_S
         if self._ask_leader(heartbeat, heard_at, now):
--- a/tests/runtime/fleet/test_large_configurations.py
+++ b/tests/runtime/fleet/test_large_configurations.py
@@ -6,17 +6,17 @@
 from itertools import count
 
 import pytest
-
-from basilwick.core.deployment import Deployment, SiteBounds
-from basilwick.fakes.proxy import Bandwidth, FaultProxy
-from basilwick.runtime.fleet.fleet_instance import FleetInstance
-from tests.runtime.fleet.fleet_site import (
+from fleet_site import (
     FleetSite,
     find_free_ports,
     make_configuration,
     wait_until,
 )
 
+from basilwick.core.deployment import Deployment, SiteBounds
+from basilwick.fakes.proxy import Bandwidth, FaultProxy
+from basilwick.runtime.fleet.fleet_instance import FleetInstance
+
 #: Link of 5 Mbit/s.
 SLOW_BYTES_PER_S = 625_000
 #: Longest time in seconds from the acknowledgement of a version until it is in force.
