Count the time that a heartbeat waits in a full link as age

An instance behind a full link took old changes for recent ones: the age of the leader's changes was counted from the arrival of the heartbeat, not from its sending, and a leader buffers up to 1 MB on a link (1.7 s at 5 Mbit/s). Heartbeats now carry the leader's clock to builds that read it; the time beyond that of the fastest heartbeat of the link counts as age. Tested on the estimate alone.

--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -190,6 +190,8 @@
         Highest number of processor cores among the linked instances and the leader.
     interval_s : float
         Seconds until the next heartbeat.
+    sent_at : float
+        Time in seconds on the leader's clock; 0 for builds of a link version below 3.
     """
 
     instance_count: int
@@ -198,6 +200,7 @@
     internal_items_revision: int = 0
     max_cores: float = 0.0
     interval_s: float = 0.1
+    sent_at: float = 0.0
 
 
 @frozen
--- a/basilwick/runtime/fleet/change_sender.py
+++ b/basilwick/runtime/fleet/change_sender.py
@@ -21,10 +21,14 @@
     from collections.abc import Callable, Iterable, Sequence
 
     from basilwick.core.dispatch.known_items import ItemVersion
-    from basilwick.core.dispatch.messages import Hello
     from basilwick.transport.link import Link
 
-__all__ = ["PACKED_CHANGES_VERSION", "ChangeSender", "ChangeSource"]
+__all__ = [
+    "PACKED_CHANGES_VERSION",
+    "ChangeSender",
+    "ChangeSource",
+    "reads_packed_changes",
+]
 
 #: Link version from which instances read packed changes and ask for missing ones.
 PACKED_CHANGES_VERSION = 3
@@ -119,8 +123,7 @@
         packed: list[bytes] | None = None
         skipped = 0
         for link in links:
-            reads_packed = _reads_packed(link.peer_hello)
-            if reads_packed and len(unpacked) > _MIN_PACKED_BYTES:
+            if reads_packed_changes(link) and len(unpacked) > _MIN_PACKED_BYTES:
                 if packed is None:
                     packed = self._pack(changes, items, find_base)
                 for line in packed:
@@ -190,7 +193,9 @@
         return [encode_message(part) for part in split_parts(number, changes)]
 
 
-def _reads_packed(hello: Hello | None) -> bool:
+def reads_packed_changes(link: Link) -> bool:
+    """Return whether the instance at the other end reads packed changes."""
+    hello = link.peer_hello
     return hello is not None and hello.link_version >= PACKED_CHANGES_VERSION
 
 
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -94,7 +94,7 @@
             read_clock, read_response_metadata, self._timings.order_timeout_s
         )
         hello = Hello(deployment.instance, deployment.data_centre, deployment.cores)
-        self._listener = LinkListener(deployment.link_address, hello)
+        self._listener = LinkListener(deployment.link_address, hello, read_clock)
         self._link = LeaderLink(hello, read_clock)
         self._link.list_rate_limits = self._view.list_rate_limits
         self._watch = SiteWatch(
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from attrs import evolve
+from attrs import define, evolve
 from loguru import logger
 
 from basilwick.core.dispatch.messages import (
@@ -23,7 +23,11 @@
     SharedChanges,
 )
 from basilwick.core.dispatch.packed_changes import PartCollector
-from basilwick.runtime.fleet.change_sender import PACKED_CHANGES_VERSION, ChangeSender
+from basilwick.runtime.fleet.change_sender import (
+    PACKED_CHANGES_VERSION,
+    ChangeSender,
+    reads_packed_changes,
+)
 from basilwick.runtime.fleet.loops import run_periodically
 from basilwick.transport.link import (
     LINK_VERSION,
@@ -41,7 +45,7 @@
     from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
-__all__ = ["LeaderLink", "LinkListener"]
+__all__ = ["LeaderLink", "LinkListener", "TransitDelay"]
 
 #: Shortest interval in seconds between the leader's heartbeats. The interval grows with
 #: the number of linked instances, which limits the total rate of heartbeats.
@@ -62,6 +66,27 @@
 _IDLE_CHECK_INTERVAL_S = 0.3
 
 
+@define(eq=False)
+class TransitDelay:
+    """Time for which heartbeats of a link are held up on their way.
+
+    The clocks of two instances differ, so only the time beyond that of the fastest
+    heartbeat is known.
+    """
+
+    _shortest_s: float = float("inf")
+
+    def estimate(
+        self, heartbeat: LeaderHeartbeat, arrived_at: MonotonicSeconds
+    ) -> float:
+        """Return the delay in seconds beyond that of the fastest heartbeat."""
+        if heartbeat.sent_at == 0.0:
+            return 0.0
+        offset_s = arrived_at - heartbeat.sent_at
+        self._shortest_s = min(self._shortest_s, offset_s)
+        return offset_s - self._shortest_s
+
+
 class LinkListener:
     """Accepts links of other instances and serves them while this instance leads.
 
@@ -71,10 +96,15 @@
         IP address and port to listen on.
     hello : Hello
         Describes this instance.
+    clock : callable
+        Local clock in seconds.
     """
 
-    def __init__(self, address: str, hello: Hello):
+    def __init__(
+        self, address: str, hello: Hello, clock: Callable[[], MonotonicSeconds]
+    ):
         self._hello = hello
+        self._clock = clock
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._server: asyncio.Server | None = None
@@ -166,9 +196,10 @@
     async def _send_heartbeats(self) -> float:
         """Send a heartbeat on each link; returns the seconds until the next one."""
         heartbeat = self._make_heartbeat()
-        line = encode_message(heartbeat)
+        earlier_line = encode_message(heartbeat)
+        line = encode_message(evolve(heartbeat, sent_at=self._clock()))
         for link in list(self._links):
-            link.send_line(line)
+            link.send_line(line if reads_packed_changes(link) else earlier_line)
         return heartbeat.interval_s
 
 
@@ -218,6 +249,7 @@
         #: Called with changes that the leader has packed.
         self.on_packed_changes: Callable[[PackedChanges], None] | None = None
         self._parts = PartCollector()
+        self._delay = TransitDelay()
         #: Local time at which packed changes were requested or a part of them arrived.
         self.transfer_at: MonotonicSeconds = float("-inf")
         #: Returns the rate limits of servers that a new leader is told.
@@ -225,7 +257,11 @@
 
     @property
     def heartbeat(self) -> tuple[LeaderHeartbeat | None, MonotonicSeconds]:
-        """Last heartbeat, None if the link isn't alive, and its local arrival time."""
+        """Last heartbeat, None if the link isn't alive, and when it was sent.
+
+        The local time of sending leaves out the shortest time that a heartbeat of this
+        link was on its way.
+        """
         return (self._heartbeat if self.alive else None), self._heartbeat_at
 
     @property
@@ -317,7 +353,10 @@
             return
         self._last_message_at = self._clock()
         if isinstance(message, LeaderHeartbeat):
-            self._heartbeat, self._heartbeat_at = message, self._last_message_at
+            self._heartbeat = message
+            self._heartbeat_at = self._last_message_at - self._delay.estimate(
+                message, self._last_message_at
+            )
             self.instance_count = message.instance_count
             self.max_cores = message.max_cores
         elif isinstance(message, SharedChanges):
@@ -347,6 +386,7 @@
             return
         self._link = self._heartbeat = None
         self._parts.clear()
+        self._delay = TransitDelay()
         self.transfer_at = float("-inf")
         logger.bind(dependency="leader", address=self._address).warning(
             "lost the link to the leader"
--- a/tests/runtime/fleet/test_leader_links.py
+++ b/tests/runtime/fleet/test_leader_links.py
@@ -11,6 +11,7 @@
 from basilwick.core.dispatch.messages import (
     ChangesPart,
     Hello,
+    LeaderHeartbeat,
     RateLimitReport,
     SendFinished,
     SendOutcome,
@@ -19,6 +20,7 @@
 from basilwick.runtime.fleet.change_sender import ChangeSender
 from basilwick.runtime.fleet.leader_links import (
     LeaderLink,
+    TransitDelay,
     compute_heartbeat_interval,
 )
 from basilwick.transport.link import Link, decode_message
@@ -117,3 +119,18 @@
         type(link.messages[0]) if link.messages else None for link in links.values()
     ]
     assert types == [earlier_build, this_build]
+
+
+def test_time_that_a_heartbeat_waits_in_a_full_link_counts_as_age():
+    """An instance behind a full link took changes of seconds ago for recent ones."""
+    delay = TransitDelay()
+    arrivals = [(100.0, 7.02), (100.1, 7.11), (100.2, 8.41), (100.3, 8.42)]
+    delays = [
+        delay.estimate(LeaderHeartbeat(3, sent_at=sent_at), arrived_at)
+        for sent_at, arrived_at in arrivals
+    ]
+    assert delays == pytest.approx([0.0, 0.0, 1.2, 1.11], abs=0.011)
+
+
+def test_heartbeats_of_earlier_builds_count_from_their_arrival():
+    assert TransitDelay().estimate(LeaderHeartbeat(3), 100.0) == 0.0
--- a/tests/runtime/fleet/test_site_watch.py
+++ b/tests/runtime/fleet/test_site_watch.py
@@ -73,7 +73,7 @@
 
     store, view = BlockingListStore(), SiteView()
     link = LeaderLink(Hello("i", "a"), clock)
-    listener = LinkListener("127.0.0.1:0", Hello("i", "a"))
+    listener = LinkListener("127.0.0.1:0", Hello("i", "a"), clock)
     metrics = FleetMetrics()
     watch = SiteWatch(
         store, view, StoredState(), clock, Random(1), link, listener, metrics
