--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -74,6 +74,7 @@
     running: int = 0
     waiting: int = 0
     grants: int = 0
+    _sequence: int = 0
     _held_ranges: list[tuple[int, int, int, float]] = field(factory=list)
     _fenced_ranges: list[tuple[int, int, int]] = field(factory=list)
     _runner: web.AppRunner | None = None
@@ -112,6 +113,7 @@
 
     async def register(self) -> None:
         """Write the registration to the key-value service."""
+        self._sequence += 1
         await self.store.put(
             f"servers/{self.name}",
             {
@@ -122,7 +124,7 @@
                 "slots": self.slots,
                 "state": "draining" if self.leaving else "ready",
                 "warmupRemainingMs": 0,
-                "sequence": 1,
+                "sequence": self._sequence,
                 "born": self._started_ms,
             },
         )
--- a/basilwick/fakes/kv_service.py
+++ b/basilwick/fakes/kv_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from base64 import b64decode, b64encode
+from copy import deepcopy
 from time import monotonic
 from typing import Any
 
@@ -32,6 +33,14 @@
     expires_at: float
 
 
+@define
+class _Copy:
+    entries: dict[str, _Entry]
+    history: list[dict[str, Any]]
+    revision: int
+    leases: dict[int, _Lease]
+
+
 @define(eq=False)
 class KvService:
     """Key-value service with conditional writes, watches and leases.
@@ -44,12 +53,16 @@
         Whether every call fails with status 503.
     lose_write_responses : bool
         Whether writes take effect but their connections are closed before a response.
+    era : int
+        Number in the header ``Store-Era`` of all responses; raised by `restore`.
     """
 
     address: str = "127.0.0.1:0"
     down: bool = False
     lose_write_responses: bool = False
+    era: int = 1
     calls: int = 0
+    _copy: _Copy | None = None
     _entries: dict[str, _Entry] = field(factory=dict)
     _history: list[dict[str, Any]] = field(factory=list)
     _first_revision: int = 1
@@ -108,18 +121,44 @@
         self._history.clear()
         self._first_revision = self._revision + 1
 
+    def take_copy(self) -> None:
+        """Keep a copy of the present state for `restore`."""
+        self._copy = _Copy(
+            deepcopy(self._entries),
+            list(self._history),
+            self._revision,
+            deepcopy(self._leases),
+        )
+
+    async def restore(self) -> None:
+        """Return to the copy: what was written since then is lost, leases too.
+
+        The copied leases start their time to live anew.
+        """
+        copy = deepcopy(self._copy)
+        self._entries, self._history = copy.entries, copy.history
+        self._revision, self._leases = copy.revision, copy.leases
+        for lease in self._leases.values():
+            lease.expires_at = monotonic() + lease.ttl_s
+        self.era += 1
+        await self._notify_watches()
+
     @web.middleware
     async def _inject_faults(
         self, request: web.Request, handler: Any
     ) -> web.StreamResponse:
         self.calls += 1
         if self.down:
-            return web.Response(status=503)
-        response = await handler(request)
+            return self._state_era(web.Response(status=503))
+        response = self._state_era(await handler(request))
         if self.lose_write_responses and request.method != "GET" and request.transport:
             request.transport.abort()
         return response
 
+    def _state_era(self, response: web.StreamResponse) -> web.StreamResponse:
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
     async def _get(self, request: web.Request) -> web.Response:
         key = request.query["key"]
         entry = self._entries.get(key)
@@ -145,7 +184,7 @@
         deadline = monotonic() + int(request.query["waitMs"]) / 1000
         while True:
             # Tested on each pass: the history can be dropped while a watch waits.
-            if after < self._first_revision - 1:
+            if not self._first_revision - 1 <= after <= self._revision:
                 return web.Response(status=410)
             events = [
                 event
