Compare revisions of the key-value service with their era

Cause: revisions were taken for a clock that never goes back, in the cursor, the known items, the stored ranges, the leader record and the heartbeats.

The client now puts the era into the upper bits of each revision that it returns, so every comparison is one of (era, revision), also on links. A watch from an earlier era makes the caller list all items; a condition of an earlier era is never sent; a write whose answer tells a new era has an unknown result; answers of an earlier era are not used. Leaders of earlier builds, whose revisions lack the era, are not followed for changes.

--- a/basilwick/platform/key_value_store.py
+++ b/basilwick/platform/key_value_store.py
@@ -29,7 +29,9 @@
     "Item",
     "KeyValueStore",
     "RevisionCompactedError",
+    "StoreRestoredError",
     "WriteResult",
+    "get_era",
 ]
 
 #: Timeout in seconds of a write. Its response is short.
@@ -44,16 +46,38 @@
 #: of several seconds can be a few times as large.
 _MAX_RESPONSE_BYTES = 16 << 20
 #: Errors that are raised while a response of an unexpected form is decoded.
-_DECODING_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_DECODING_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 _WRITE_TIMEOUT = ClientTimeout(total=_WRITE_TIMEOUT_S)
 
 
+#: Header field with the number of times that the service was restored from a copy.
+_ERA_FIELD = "Store-Era"
+#: Bits of a revision below the era. The service's own revisions are far smaller.
+_REVISION_BITS = 40
+_MAX_ERA = 1 << 22
+
+
 class RevisionCompactedError(Exception):
     """The changes since a revision are no longer kept; list the items again."""
 
 
+class StoreRestoredError(RevisionCompactedError):
+    """The service was restored from a copy after a revision; list the items again."""
+
+
+def get_era(revision: int) -> int:
+    """Return the era of a revision that the client returned."""
+    return revision >> _REVISION_BITS
+
+
 class WriteResult(StrEnum):
     """Result of a conditional write."""
 
@@ -93,11 +117,24 @@
 class _Response:
     status: int
     body: dict[str, Any]
+    era: int
+
+    def make_revision(self, value: Any) -> int:
+        """Return a revision of the service in the form that the client returns."""
+        revision = int(value)
+        if not 0 <= revision < 1 << _REVISION_BITS:
+            raise ValueError(f"revision {value!r} is not below 2**{_REVISION_BITS}")
+        return self.era << _REVISION_BITS | revision
 
 
 class KeyValueStore:
     """HTTP client of the platform's key-value service.
 
+    The service may be restored from a copy, after which it gives out revisions again.
+    It states in its era how often that happened. The revisions that this client
+    returns have the era in their upper bits, so that a revision of a later era is
+    always larger. A revision of an earlier era than the present one matches no item.
+
     Failed calls are not retried here. Each method takes the cause of the call, which is
     a label of the counter of calls, and raises PlatformUnavailableError if it gets no
     usable response.
@@ -113,6 +150,9 @@
     def __init__(self, address: str, registry: CollectorRegistry):
         self._base = f"http://{address}"
         self._session: ClientSession | None = None
+        #: Era of the first and of the latest response; None before the first one.
+        self.first_era: int | None = None
+        self.era: int | None = None
         self._calls = Counter(
             "basilwick_store_calls",
             "Calls to the platform's key-value service by cause and result.",
@@ -144,7 +184,7 @@
             return None
         body = self._require_status(response, cause, 200)
         with _reraise_decoding_errors(cause):
-            return _decode_item(body)
+            return _decode_item(body, response)
 
     async def list_items(
         self, prefix: str, cause: str, stale: bool = False
@@ -157,6 +197,7 @@
         """
         items: list[Item] = []
         revision = None
+        era = None
         params = {"pathPrefix": prefix}
         if stale:
             params["serializable"] = "1"
@@ -165,11 +206,17 @@
                 cause, "GET", "/kv-range", params=params
             )
             body = self._require_status(response, cause, 200)
+            if era is not None and response.era != era:
+                raise PlatformUnavailableError(
+                    f"{cause}: the service was restored between two pages; the call "
+                    "is retried"
+                )
+            era = response.era
             with _reraise_decoding_errors(cause):
-                page = [_decode_item(item) for item in body["items"]]
+                page = [_decode_item(item, response) for item in body["items"]]
                 items += page
                 if revision is None:
-                    revision = int(body["currentRev"])
+                    revision = response.make_revision(body["currentRev"])
                 if not body.get("morePages") or not page:
                     return items, revision
                 params["after"] = page[-1].key
@@ -183,21 +230,29 @@
         ------
         RevisionCompactedError
             If the service no longer keeps these changes.
+        StoreRestoredError
+            If the service was restored from a copy after the revision.
         """
         params = {
             "pathPrefix": prefix,
-            "after": str(after),
+            "after": str(_get_own_revision(after)),
             "waitMs": str(round(wait_s * 1000)),
         }
         response = await self._send_request(
             cause, "GET", "/kv-watch", params=params, wait_s=wait_s
         )
+        if response.status in (200, 410) and response.era != get_era(after):
+            raise StoreRestoredError(
+                f"restored from a copy; era {response.era} follows {get_era(after)}"
+            )
         if response.status == 410:
-            raise RevisionCompactedError(f"revision {after} has been compacted")
+            raise RevisionCompactedError(
+                f"revision {_get_own_revision(after)} has been compacted"
+            )
         body = self._require_status(response, cause, 200)
         with _reraise_decoding_errors(cause):
-            changes = [_decode_change(event) for event in body["events"]]
-            return ChangeBatch(changes, int(body["currentRev"]))
+            changes = [_decode_change(event, response) for event in body["events"]]
+            return ChangeBatch(changes, response.make_revision(body["currentRev"]))
 
     async def write(
         self, key: str, value: bytes, revision: int, cause: str, lease: int = 0
@@ -212,10 +267,13 @@
         write = {"key": key, "value": b64encode(value).decode()}
         if lease:
             write["lease"] = lease
+        if self._is_superseded(revision):
+            return WriteResult.CONFLICT, 0
         response = await self._commit_transaction(key, revision, cause, [write], [])
         if response.status == 200:
             with _reraise_decoding_errors(cause):
-                return WriteResult.DONE, int(response.body["revision"])
+                written = response.make_revision(response.body["revision"])
+                return WriteResult.DONE, written
         if response.status == 404:
             return WriteResult.NO_LEASE, 0
         self._require_status(response, cause, 412)
@@ -223,6 +281,8 @@
 
     async def remove(self, key: str, revision: int, cause: str) -> bool:
         """Remove a key if it still has a revision; returns whether it was removed."""
+        if self._is_superseded(revision):
+            return False
         response = await self._commit_transaction(key, revision, cause, [], [key])
         if response.status == 412:
             return False
@@ -251,15 +311,22 @@
         if response.status != 404:
             self._require_status(response, cause, 200)
 
+    def _is_superseded(self, revision: int) -> bool:
+        """Return whether a revision is of an earlier era, so that no item has it."""
+        return revision > 0 and get_era(revision) != (self.era or 0)
+
     async def _commit_transaction(
         self, key: str, revision: int, cause: str, writes: list, removed: list
     ) -> _Response:
-        body = {
-            "precondition": [{"key": key, "revision": revision}],
-            "writes": writes,
-            "remove": removed,
-        }
-        return await self._send_request(cause, "POST", "/kv-txn", data=dumps(body))
+        condition = {"key": key, "revision": _get_own_revision(revision)}
+        body = {"precondition": [condition], "writes": writes, "remove": removed}
+        response = await self._send_request(cause, "POST", "/kv-txn", data=dumps(body))
+        if revision > 0 and response.era != get_era(revision):
+            # Another writer's revision of the new era may be the same number.
+            raise PlatformUnavailableError(
+                f"{cause}: the service was restored from a copy; the result is unknown"
+            )
+        return response
 
     async def _send_request(
         self,
@@ -291,6 +358,7 @@
                         f"response is not a JSON object: {bytes(raw[:100])!r}"
                     )
                 status = response.status
+                era = self._record_era(response.headers.get(_ERA_FIELD))
         except (TimeoutError, ClientError, OSError, ValueError) as error:
             self._calls.labels(cause, "failed").inc()
             elapsed_s = asyncio.get_running_loop().time() - started_at
@@ -306,7 +374,30 @@
         finally:
             self._received_bytes.labels(cause).inc(len(raw))
         self._calls.labels(cause, str(status)).inc()
-        return _Response(status, body)
+        return _Response(status, body, era)
+
+    def _record_era(self, field: str | None) -> int:
+        """Record the era that a response states; a service without eras has era 0.
+
+        Raises
+        ------
+        ValueError
+            If it is no era, or lower than that of an earlier response.
+        """
+        era = (self.era or 0) if field is None else int(field)
+        if not (self.era or 0) <= era < _MAX_ERA:
+            raise ValueError(
+                f"{_ERA_FIELD} is {field!r}; it must be at least {self.era or 0}, the "
+                f"era of an earlier response, and below {_MAX_ERA}"
+            )
+        if self.era is None:
+            self.first_era = era
+        elif era > self.era:
+            logger.bind(era=era, former=self.era).warning(
+                "the platform's service was restored from a copy"
+            )
+        self.era = era
+        return era
 
     def _require_status(
         self, response: _Response, cause: str, status: int
@@ -345,12 +436,17 @@
             raise ValueError(f"response is longer than {_MAX_RESPONSE_BYTES} bytes")
 
 
-def _decode_item(data: dict[str, Any]) -> Item:
-    change = _decode_change(data)
+def _get_own_revision(revision: int) -> int:
+    """Return the number of a revision in the service."""
+    return revision & (1 << _REVISION_BITS) - 1
+
+
+def _decode_item(data: dict[str, Any], response: _Response) -> Item:
+    change = _decode_change(data, response)
     return Item(change.key, change.value or b"", change.revision)
 
 
-def _decode_change(data: dict[str, Any]) -> Change:
+def _decode_change(data: dict[str, Any], response: _Response) -> Change:
     value = None
     if not data.get("tombstone"):
         try:
@@ -358,4 +454,4 @@
         except (Base64Error, TypeError, ValueError):
             # The code that decodes the value reports that it is unreadable.
             value = b"not base64"
-    return Change(str(data["key"]), value, int(data["revision"]))
+    return Change(str(data["key"]), value, response.make_revision(data["revision"]))
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -259,10 +259,12 @@
     def heartbeat(self) -> tuple[LeaderHeartbeat | None, MonotonicSeconds]:
         """Last heartbeat, None if the link isn't alive, and when it was sent.
 
-        The local time of sending leaves out the shortest time that a heartbeat of this
-        link was on its way.
+        It is None for a leader of an earlier build too, whose revisions leave out the
+        era of the platform's service. The local time of sending leaves out the shortest
+        time that a heartbeat of this link was on its way.
         """
-        return (self._heartbeat if self.alive else None), self._heartbeat_at
+        comparable = self.alive and self._version >= PACKED_CHANGES_VERSION
+        return (self._heartbeat if comparable else None), self._heartbeat_at
 
     @property
     def alive(self) -> bool:
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -23,7 +23,7 @@
     unpack_changes,
 )
 from basilwick.core.errors import PlatformUnavailableError
-from basilwick.platform.key_value_store import RevisionCompactedError
+from basilwick.platform.key_value_store import RevisionCompactedError, get_era
 from basilwick.runtime.fleet.item_applier import ItemApplier
 from basilwick.runtime.fleet.loops import run_periodically
 
@@ -142,6 +142,8 @@
         #: or broadcast by the leader.
         self._current_at: MonotonicSeconds = float("-inf")
         self._failing = False
+        #: Era of the last revision that was listed or passed on.
+        self._era: int | None = None
         #: Whether the leader was asked for missing changes, and the local time before
         #: which it is not asked again.
         self._requested = False
@@ -311,6 +313,7 @@
         items, revision = await self._store.list_items("", "list all")
         if self._failing:
             self._view.record_platform_recovery(self._clock())
+        self._record_era(revision)
         versions = [_make_version(item) for item in items]
         internal = [version for version in versions if self._is_internal(version.key)]
         for version in internal:
@@ -321,6 +324,13 @@
             revision,
         )
 
+    def _record_era(self, revision: int) -> None:
+        """Expect missing items to be written again if the service was restored."""
+        era = get_era(revision)
+        if self._era is not None and era > self._era:
+            self._view.record_platform_recovery(self._clock())
+        self._era = era
+
     def _apply_listing(self, items: Sequence[ItemVersion], revision: int) -> None:
         """Apply all items that operators and servers wrote, and remove the others."""
         for item in items:
@@ -434,6 +444,7 @@
             return
         if packed.after_outage:
             self._view.record_platform_recovery(self._clock())
+        self._record_era(packed.revision)
         if packed.complete:
             self._apply_listing(items, packed.revision)
             return
--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import re
 
 import pytest
 import pytest_asyncio
 from prometheus_client import CollectorRegistry
 
 from basilwick.core.errors import PlatformUnavailableError
-from basilwick.platform.key_value_store import KeyValueStore
+from basilwick.platform.key_value_store import (
+    KeyValueStore,
+    StoreRestoredError,
+    WriteResult,
+    get_era,
+)
 
 
 @pytest_asyncio.fixture
@@ -112,3 +119,95 @@
     with pytest.raises(PlatformUnavailableError):
         await store.list_items("", "list all")
     assert asyncio.get_running_loop().time() - started_at < 1.5
+
+
+class RestoredService:
+    """Service whose era and responses are set by a test."""
+
+    def __init__(self):
+        self.era = "1"
+        self.status = 200
+        self.body = b"{}"
+        self.requests = []
+
+    async def handle(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = re.search(rb"Content-Length: (\d+)", head)
+            body = await reader.readexactly(int(length[1])) if length else b""
+            self.requests.append(head.split(b"\r\n")[0] + body)
+            era = f"Store-Era: {self.era}\r\n" if self.era is not None else ""
+            writer.write(
+                f"HTTP/1.1 {self.status} OK\r\n{era}Connection: close\r\n"
+                f"Content-Length: {len(self.body)}\r\n\r\n".encode()
+                + self.body
+            )
+        writer.close()
+
+
+@pytest_asyncio.fixture
+async def restored():
+    service = RestoredService()
+    server = await asyncio.start_server(service.handle, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    store = KeyValueStore(address, CollectorRegistry())
+    await store.start()
+    yield service, store
+    await store.close()
+    server.close()
+
+
+async def list_at(service, store, era, revision):
+    service.era, service.status = era, 200
+    service.body = b'{"items":[],"currentRev":%d}' % revision
+    return (await store.list_items("", "list all"))[1]
+
+
+async def test_a_revision_of_a_later_era_is_larger(restored):
+    earlier = await list_at(*restored, "1", 900)
+    later = await list_at(*restored, "2", 7)
+    assert later > earlier
+    assert (get_era(earlier), get_era(later)) == (1, 2)
+
+
+@pytest.mark.parametrize("status", [200, 410])
+async def test_a_watch_from_an_earlier_era_is_answered_by_a_restore(restored, status):
+    """Changes between the copy and the known revision would be missed."""
+    service, store = restored
+    revision = await list_at(service, store, "1", 900)
+    service.era, service.status = "2", status
+    service.body = b'{"events":[],"currentRev":950}'
+    with pytest.raises(StoreRestoredError):
+        await store.watch("", revision, 0.1, "watch all")
+    assert b"after=900" in service.requests[-1]
+
+
+async def test_a_condition_of_an_earlier_era_is_not_sent(restored):
+    """Another writer's value can have the same revision in the new era."""
+    service, store = restored
+    revision = await list_at(service, store, "1", 900)
+    await list_at(service, store, "2", 20)
+    sent = len(service.requests)
+    result, _ = await store.write("k", b"v", revision, "store ranges")
+    assert result is WriteResult.CONFLICT
+    assert not await store.remove("k", revision, "resign")
+    assert len(service.requests) == sent
+
+
+async def test_a_write_whose_answer_tells_a_new_era_has_an_unknown_result(restored):
+    service, store = restored
+    revision = await list_at(service, store, "1", 900)
+    service.era, service.body = "2", b'{"revision":901}'
+    with pytest.raises(PlatformUnavailableError, match="restored"):
+        await store.write("k", b"v", revision, "store ranges")
+
+
+@pytest.mark.parametrize("era", ["0", "x", "-1", "1e3", "99999999999", ""])
+async def test_an_answer_of_an_impossible_era_is_not_used(restored, era):
+    await list_at(*restored, "1", 900)
+    with pytest.raises(PlatformUnavailableError):
+        await list_at(*restored, era, 901)
+
+
+async def test_a_service_without_eras_has_plain_revisions(restored):
+    assert await list_at(*restored, None, 900) == 900
