Keep what is newer than a copy of the key-value service says

Cause: the listing after the return was taken for the present state, and what it lacks for removed.

A registration with a lower sequence than the known one of the same process changes nothing, also for servers that were removed; that of an earlier process changes nothing in the 2 s after a return. A data centre that a listing no longer takes out is used 2 s later, so operators can write it again; a removal that operators wrote counts at once. The leader gives instances that know only an earlier era all items, not removals.

--- a/basilwick/core/dispatch/known_items.py
+++ b/basilwick/core/dispatch/known_items.py
@@ -78,6 +78,14 @@
             if known.value is not None and known.revision <= revision:
                 self.record(ItemVersion(key, None, max(revision, known.revision + 1)))
 
+    def begin_era(self, revision: int) -> None:
+        """Give instances that know only earlier revisions all items.
+
+        After the service was restored from a copy, an item that is missing was not
+        necessarily removed.
+        """
+        self._complete_since = revision
+
     def list_missing(self, after: int) -> MissingChanges:
         """Return what an instance lacks that knows all changes up to a revision."""
         complete = self._complete_since is None or after < self._complete_since
--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -30,6 +30,8 @@
 #: Time in seconds after an outage of the platform's service within which live servers
 #: have renewed the registrations that expired during the outage.
 _REGISTRATION_GRACE_S = 2.0
+#: Removed servers whose last registration is remembered.
+_MAX_REMOVED_SERVERS = 2000
 #: Lowest rate in requests per second at which a server is used. A server that gets no
 #: requests can't state that its limit has ended.
 _MIN_RATE = 0.25
@@ -142,6 +144,8 @@
     started_ms : int
         Unix time in milliseconds at which the server's process started. A new value
         tells that the server was restarted.
+    sequence : int
+        Number that grows with each registration that the process writes; 0 if unknown.
     """
 
     name: ServerName
@@ -152,6 +156,13 @@
     leaving: bool
     warm_up_left_s: float
     started_ms: int
+    sequence: int = 0
+
+    def is_outdated_by(self, other: ServerEntry) -> bool:
+        """Return whether the same process wrote another registration later."""
+        return (
+            self.started_ms == other.started_ms and 0 < self.sequence < other.sequence
+        )
 
 
 @define
@@ -178,6 +189,10 @@
     #: Incremented by every change that may affect a dispatch decision.
     version: int = 0
     _servers: dict[ServerName, _Registration] = field(factory=dict)
+    #: Last registrations of servers that were removed, oldest first.
+    _removed_servers: dict[ServerName, ServerEntry] = field(factory=dict)
+    #: Local times from which data centres that nobody takes out any longer are used.
+    _return_at: dict[DataCentreName, MonotonicSeconds] = field(factory=dict)
     _platform_recovered_at: MonotonicSeconds = float("-inf")
 
     def apply_configuration(self, configuration: SiteConfiguration) -> bool:
@@ -190,8 +205,21 @@
         return True
 
     def apply_server(self, server: ServerEntry, now: MonotonicSeconds) -> bool:
-        """Apply a server's registration; returns whether it changed anything."""
+        """Apply a server's registration; returns whether it changed anything.
+
+        An earlier registration than the known one comes from a copy of the platform's
+        service, or from a write that was held up; it changes nothing.
+        """
         registration = self._servers.get(server.name)
+        known = registration and registration.server
+        known = known or self._removed_servers.get(server.name)
+        if known is not None and server.is_outdated_by(known):
+            return False
+        # A copy may also contain the registration of an earlier process.
+        is_earlier = known is not None and server.started_ms < known.started_ms
+        if is_earlier and self.in_registration_grace(now):
+            return False
+        self._removed_servers.pop(server.name, None)
         cold_until = now + server.warm_up_left_s if server.warm_up_left_s else 0.0
         if registration is None or registration.server.started_ms != server.started_ms:
             self._servers[server.name] = _Registration(server, cold_until)
@@ -199,8 +227,7 @@
             return True
         registration.removal_at = None
         registration.cold_until = max(registration.cold_until, cold_until)
-        comparable = evolve(server, warm_up_left_s=0.0)
-        changed = comparable != evolve(registration.server, warm_up_left_s=0.0)
+        changed = _describe(server) != _describe(registration.server)
         registration.server = server
         self.version += changed
         return changed
@@ -228,6 +255,7 @@
         self, data_centre: DataCentreName, out: bool, now: MonotonicSeconds
     ) -> None:
         """Take a data centre out of service, or back with its servers cold."""
+        self._return_at.pop(data_centre, None)
         if out == (data_centre in self.data_centres_out):
             return
         self.version += 1
@@ -241,6 +269,31 @@
                 warm_up_s = 0.0 if spec is None else spec.warm_up_s
                 registration.cold_until = max(registration.cold_until, now + warm_up_s)
 
+    def retain_data_centres_out(
+        self, names: set[DataCentreName], now: MonotonicSeconds
+    ) -> None:
+        """Take back the data centres that a complete list of items doesn't take out.
+
+        After an outage of the platform's service this waits, because operators may have
+        to write again what the service has lost.
+        """
+        for data_centre in self.data_centres_out - names:
+            if self.in_registration_grace(now):
+                grace_until = self._platform_recovered_at + _REGISTRATION_GRACE_S
+                self._return_at.setdefault(data_centre, grace_until)
+            else:
+                self.set_data_centre_out(data_centre, False, now)
+
+    def take_back_due(self, now: MonotonicSeconds) -> list[DataCentreName]:
+        """Take back the data centres that were not taken out again in time.
+
+        Returns the data centres.
+        """
+        due = [name for name, at in self._return_at.items() if at <= now]
+        for data_centre in due:
+            self.set_data_centre_out(data_centre, False, now)
+        return due
+
     def record_platform_recovery(self, now: MonotonicSeconds) -> None:
         """Record that the platform's service answers again after an outage."""
         self._platform_recovered_at = now
@@ -261,6 +314,10 @@
         ]
         for server in expired:
             del self._servers[server.name]
+            self._removed_servers.pop(server.name, None)
+            self._removed_servers[server.name] = server
+        while len(self._removed_servers) > _MAX_REMOVED_SERVERS:
+            del self._removed_servers[next(iter(self._removed_servers))]
         self.version += bool(expired)
         return expired
 
@@ -373,3 +430,8 @@
             and not registration.server.leaving
             and registration.server.data_centre not in self.data_centres_out
         )
+
+
+def _describe(server: ServerEntry) -> ServerEntry:
+    """Return a registration without the fields that change with each one."""
+    return evolve(server, warm_up_left_s=0.0, sequence=0)
--- a/basilwick/platform/decoding.py
+++ b/basilwick/platform/decoding.py
@@ -130,6 +130,7 @@
             _LEAVING_BY_STATE[data["state"]],
             _read_non_negative(data, "warmupRemainingMs") * _MS,
             _require_type(data.get("born", 0), int),
+            _require_type(data.get("sequence", 0), int),
         )
         if entry.slots < 1:
             raise ValueError(f"slots is {entry.slots}; it must be at least 1")
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -252,7 +252,7 @@
             await role.close()
 
     async def _run_maintenance(self) -> float:
-        """Remove expired servers, step down if deposed, and apply changed limits.
+        """Apply what is due: removals, returns, the end of a term, changed limits.
 
         Returns the time in seconds until the next run.
         """
@@ -261,6 +261,10 @@
             self._order_client.remove_address(server.address)
             self._fallback.dispatcher.remove_server(server.name)
             self.metrics.remove_server(server.name)
+        for data_centre in self._view.take_back_due(read_clock()):
+            logger.bind(data_centre=data_centre, out=False).info(
+                "data centre taken back"
+            )
         if self._role is not None and self._role.deposed:
             await self._election.step_down("servers follow another leader")
         self._apply_limits()
--- a/basilwick/runtime/fleet/item_applier.py
+++ b/basilwick/runtime/fleet/item_applier.py
@@ -72,8 +72,7 @@
         now = self._clock()
         self._view.retain_servers(_list_names(keys, SERVERS_PREFIX), now)
         out = _list_names(keys, DATA_CENTRE_OUT_PREFIX)
-        for data_centre in self._view.data_centres_out - out:
-            self._view.set_data_centre_out(data_centre, False, now)
+        self._view.retain_data_centres_out(out, now)
 
     def _apply_configuration(self, item: ItemVersion) -> None:
         if item.value is None:
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -329,6 +329,7 @@
         era = get_era(revision)
         if self._era is not None and era > self._era:
             self._view.record_platform_recovery(self._clock())
+            self._items.begin_era(revision)
         self._era = era
 
     def _apply_listing(self, items: Sequence[ItemVersion], revision: int) -> None:
--- a/tests/core/dispatch/test_known_items.py
+++ b/tests/core/dispatch/test_known_items.py
@@ -71,3 +71,15 @@
     missing = items.list_missing(4000)
     assert not missing.complete
     assert len(missing.items) < 2001
+
+
+def test_instances_of_an_earlier_era_get_all_items():
+    """What a restored service lacks was taken for removed by its operators."""
+    items = make_items(a=3, b=5)
+    items.begin_era(109)
+    items.record(ItemVersion("a", b"v", 103))
+    items.record_listing({"a"}, 109)
+    missing = items.list_missing(5)
+    assert missing.complete
+    assert list_keys(missing) == {"a"}
+    assert not items.list_missing(109).complete
