Assume a lost leader when the key-value service was restored

Cause: a later leader took the owners of the copy for the present ones and reserved the fences that the copy had lost once more.

Ranges are stored with the era in which they are certainly complete. A leader that finds an older one waits until all grants of any earlier leader have ended, and takes fences of the new era (4,294,967,296 each), above all lost ones. A leader whose record is in the copy goes on and stores its ranges again. If its lease had ended meanwhile, another leader may have been lost: it only renews grants with the fences that they have; a server that knows the other leader refuses. Each range whose owner accepts after the other's lease can have ended is free to move; the others wait. Until then a later leader still finds the older era. A term that had ceased to renew ends.

--- a/basilwick/core/ranges/controller.py
+++ b/basilwick/core/ranges/controller.py
@@ -14,6 +14,10 @@
   acknowledge the release of the range, or every grant that it may hold must expire.
 - A leader whose lease may have expired only renews grants of settled ranges, only at
   server processes that it reached while it had the lease, and for a bounded time.
+- If the platform's service was restored from a copy, another leader may have led in the
+  time that is lost. Until all of its grants have ended, a leader only renews grants,
+  with the fences that they have; a server that knows the other leader refuses that. A
+  range whose owner accepts a renewal after the other leader's lease is confirmed.
 - A later leader waits for the end of that lease before it continues a stored move, and
   for that bounded time before it reassigns the keys of a server that it never reached.
   This wait also applies to the new owner of a stored move, because the earlier leader
@@ -42,7 +46,11 @@
 from basilwick.core.ranges.placement import plan_even_shares
 from basilwick.core.ranges.serving import describe_owner
 from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
-from basilwick.core.ranges.takeover import initialize_takeover, reset_restarted_owner
+from basilwick.core.ranges.takeover import (
+    initialize_takeover,
+    reset_restarted_owner,
+    suspect_other_leader,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -95,6 +103,10 @@
     _pending: dict[int, PendingOrder] = field(factory=dict)
     _ranges_being_stored: list[KeyRange] | None = None
     _store_completion_at: MonotonicSeconds = float("inf")
+    #: Local time until which another leader's grants can be in force, and from which
+    #: it no longer has a lease; see `suspect_other_leader`.
+    _uncertain_until: MonotonicSeconds = _NEVER
+    _confirm_from: MonotonicSeconds = _NEVER
 
     def __attrs_post_init__(self) -> None:
         initialize_takeover(self.table, self.times, self.taken_over_at)
@@ -126,7 +138,7 @@
         unowned = [
             key_range
             for key_range in self.table.ranges
-            if key_range.phase is Phase.UNOWNED
+            if key_range.phase is Phase.UNOWNED and key_range.confirmed
         ]
         for key_range in unowned:
             for move in plan_even_shares(key_range.first, key_range.last, servers):
@@ -148,18 +160,19 @@
             return []
         if holds_lease:
             self.table.merge_settled()
+        if _NEVER < self._uncertain_until <= now:
+            self._end_uncertainty()
         if now >= self._store_completion_at:
             self._store_completion_at = float("inf")
             self.dirty = True
         orders = []
         for key_range in self.table.ranges:
-            if holds_lease and key_range.phase is Phase.OWNED:
+            may_move = holds_lease and key_range.confirmed
+            if may_move and key_range.phase is Phase.OWNED:
                 self._replace_leaving_owner(key_range, now)
             if key_range.pending_order_number or now < key_range.next_order_at:
                 continue
-            if not holds_lease and not (
-                key_range.phase is Phase.OWNED and key_range.owner_reached
-            ):
+            if not may_move and not _may_only_renew(key_range):
                 continue
             previous_grant_end = key_range.latest_grant_end
             order = self._decide_order(key_range, now)
@@ -170,6 +183,25 @@
                 orders.append(order)
         return orders
 
+    def suspect_other_leader(self, now: MonotonicSeconds) -> None:
+        """Allow for a leader whose stored ranges the platform's service has lost.
+
+        Parameters
+        ----------
+        now : float
+            Local time at or after which the service was restored.
+        """
+        self._uncertain_until = now + self.times.unreached_owner_wait_s
+        self._confirm_from = now + self.times.lease_s + self.times.order_timeout_s
+        suspect_other_leader(self.table, self._uncertain_until, now)
+
+    @property
+    def certain(self) -> bool:
+        """Whether no unknown leader can have moved any of the ranges."""
+        return self._uncertain_until == _NEVER or all(
+            key_range.confirmed for key_range in self.table.ranges
+        )
+
     def is_pending(self, order: Order) -> bool:
         """Return whether an order's range still waits for the result of this order."""
         pending = self._pending.get(order.number)
@@ -226,11 +258,11 @@
         elif result is OrderResult.CONFLICT:
             self._handle_conflict(key_range, now)
         else:
-            if result is OrderResult.UNKNOWN:
+            if result is OrderResult.UNKNOWN and key_range.confirmed:
                 # The server may still receive this grant. The next one carries a
                 # higher fence, after which the server refuses this one.
                 key_range.fence = 0
-            else:
+            elif result is not OrderResult.UNKNOWN:
                 key_range.latest_grant_end = pending.previous_grant_end
             # Without the lease, only connections opened earlier may be used. That none
             # is left doesn't show that the server is unreachable.
@@ -319,7 +351,7 @@
             grant_ttl_s,
             key_range.handover_token if key_range.phase is Phase.OWNED else None,
             to_former_owner=key_range.phase is Phase.FENCING,
-            requires_same_process=not self._holds_lease,
+            requires_same_process=not (self._holds_lease and key_range.confirmed),
         )
 
     def _order_release(
@@ -387,7 +419,10 @@
         # Earlier grants without an answer have either arrived by now or will be refused
         # for their lower fence, so none of them can outlast the accepted grant.
         key_range.owner_reached = True
-        key_range.latest_grant_end = now + self.times.max_ttl_after_answer_s
+        if key_range.confirmed:
+            key_range.latest_grant_end = now + self.times.max_ttl_after_answer_s
+        elif pending.sent_at >= self._confirm_from:
+            self._confirm(key_range, now)
         if key_range.phase is Phase.FENCING:
             key_range.enter_phase(Phase.RELEASING, now)
             return
@@ -395,12 +430,28 @@
         key_range.serving_until = pending.sent_at + grant_ttl_s
         key_range.next_order_at = now + self.times.renewal_interval_s
 
+    def _confirm(self, key_range: KeyRange, now: MonotonicSeconds) -> None:
+        """Trust a range whose owner knows no other leader; its next fence is new."""
+        key_range.confirmed = True
+        key_range.fence = 0
+        # Renewals without an answer had the same fence and may be carried out late.
+        key_range.latest_grant_end = now + self.times.max_ttl_after_send_s
+
+    def _end_uncertainty(self) -> None:
+        """Trust all ranges, because the grants of any other leader have ended."""
+        self._uncertain_until = _NEVER
+        for key_range in self.table.ranges:
+            if not key_range.confirmed:
+                key_range.confirmed = True
+                key_range.fence = 0
+
     def _handle_conflict(self, key_range: KeyRange, now: MonotonicSeconds) -> None:
         key_range.failures += 1
         key_range.serving_until = _NEVER
         key_range.next_order_at = now
         key_range.fence = 0
-        if not self._holds_lease or key_range.failures > _UNREACHABLE_AFTER_FAILURES:
+        may_move = self._holds_lease and key_range.confirmed
+        if not may_move or key_range.failures > _UNREACHABLE_AFTER_FAILURES:
             self.deposed = True
             key_range.next_order_at = now + _RETRY_INTERVAL_S
 
@@ -427,3 +478,9 @@
             return None
         pending.key_range.pending_order_number = 0
         return pending
+
+
+def _may_only_renew(key_range: KeyRange) -> bool:
+    """Return whether a grant can be renewed by a leader that may not move the range."""
+    can_renew = key_range.phase is Phase.OWNED and key_range.owner_reached
+    return can_renew and (key_range.confirmed or key_range.fence > 0)
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -102,6 +102,9 @@
         Number of the order whose result is awaited, 0 for none.
     failures : int
         Consecutive failed orders.
+    confirmed : bool
+        Whether no leader that is unknown here can have moved the range. Without that,
+        its present grant may only be renewed.
     """
 
     first: int
@@ -121,6 +124,7 @@
     owner_reached: bool = False
     pending_order_number: int = 0
     failures: int = 0
+    confirmed: bool = True
 
     @property
     def size(self) -> int:
@@ -134,6 +138,7 @@
             self.phase is Phase.OWNED
             and not self.pending_order_number
             and self.owner_reached
+            and self.confirmed
             and self.target is None
             and not self.failures
             and self.handover_token is None
@@ -173,6 +178,7 @@
             next_order_at=self.next_order_at,
             phase_since=self.phase_since,
             owner_reached=self.owner_reached,
+            confirmed=self.confirmed,
         )
         self.last = key - 1
         return upper
--- a/basilwick/core/ranges/takeover.py
+++ b/basilwick/core/ranges/takeover.py
@@ -1,4 +1,8 @@
-"""Assumptions about grants of earlier leaders, at a takeover and a server restart."""
+"""Assumptions about grants of other leaders.
+
+They are made at a takeover, at a restart of a server, and when the platform's service
+was restored from a copy.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +15,7 @@
     from basilwick.core.ranges.table import KeyRange, RangeTable
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["initialize_takeover", "reset_restarted_owner"]
+__all__ = ["initialize_takeover", "reset_restarted_owner", "suspect_other_leader"]
 
 
 def initialize_takeover(
@@ -82,3 +86,34 @@
         key_range.enter_phase(Phase.OWNED, now)
     elif now >= key_range.target_latest_grant_end:
         key_range.enter_phase(Phase.FENCING, now)
+
+
+def suspect_other_leader(
+    table: RangeTable, until: MonotonicSeconds, now: MonotonicSeconds
+) -> None:
+    """Allow for a leader whose stored ranges the platform's service has lost.
+
+    It may have moved each range. Moves are cancelled, or wait until all of its grants
+    have ended; grants of ranges that don't move can be renewed, because a server that
+    has accepted a grant of the other leader refuses that.
+
+    Parameters
+    ----------
+    until : float
+        Local time until which grants of the other leader can be in force.
+    now : float
+        Local time.
+    """
+    for key_range in table.ranges:
+        key_range.confirmed = False
+        key_range.latest_grant_end = max(key_range.latest_grant_end, until)
+        if key_range.phase in (Phase.STORING, Phase.FENCING):
+            key_range.target = None
+            owned = key_range.owner is not None
+            key_range.enter_phase(Phase.OWNED if owned else Phase.UNOWNED, now)
+        elif key_range.phase is Phase.RELEASING:
+            key_range.enter_phase(Phase.EXPIRING, now)
+        if key_range.target is not None:
+            key_range.target_latest_grant_end = max(
+                key_range.target_latest_grant_end, until
+            )
--- a/basilwick/runtime/fleet/leader_election.py
+++ b/basilwick/runtime/fleet/leader_election.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from basilwick.core.errors import PlatformUnavailableError
-from basilwick.platform.key_value_store import WriteResult
+from basilwick.platform.key_value_store import WriteResult, get_era
 from basilwick.runtime.fleet.leader_term import LeaderTerm
 from basilwick.runtime.fleet.loops import run_periodically
 from basilwick.runtime.fleet.stored_state import (
@@ -271,7 +271,8 @@
         self._state.leader = LeaderRecord(
             self._instance, self._address, lease, revision, LINK_VERSION
         )
-        return LeaderTerm(lease, revision, sent_at, self._timings, self._clock)
+        era = get_era(revision)
+        return LeaderTerm(lease, revision, sent_at, self._timings, self._clock, era)
 
     async def _read_record(self) -> None:
         item = await self._store.get(LEADER_KEY, "read leader")
@@ -286,11 +287,30 @@
             await self._resign(f"{leader.instance} leads")
             return
         sent_at = self._clock()
-        if await self._store.renew_lease(term.lease, "renew leader"):
+        renewed = await self._store.renew_lease(term.lease, "renew leader")
+        if renewed and self._store.era != term.era:
+            renewed = await self._continue_after_restore(term)
+        if renewed:
             term.lease_renewed_at = sent_at
         elif self._term is term:
             await self._restart_term(term)
 
+    async def _continue_after_restore(self, term: LeaderTerm) -> bool:
+        """Continue a term if the copy of the service contains its record."""
+        item = await self._store.get(LEADER_KEY, "read leader")
+        if item is None:
+            return False
+        record = decode_leader_record(item.value, item.revision)
+        if record.instance != self._instance or record.lease != term.lease:
+            return False
+        if not term.continue_in_era(get_era(item.revision), item.revision):
+            return False
+        self._state.leader = record
+        logger.bind(era=term.era, uncertain=term.uncertain).warning(
+            "leading the site on after the service was restored"
+        )
+        return True
+
     async def _restart_term(self, term: LeaderTerm) -> None:
         """End a term whose lease has ended; start another if no leader is known."""
         self._clear_leader(term)
--- a/basilwick/runtime/fleet/leader_term.py
+++ b/basilwick/runtime/fleet/leader_term.py
@@ -33,6 +33,10 @@
         Revision at which the leader record was written.
     lease_renewed_at : float
         Local time at which the last successful renewal of the lease was sent.
+    era : int
+        Era of the platform's service in which the term is known to have its record.
+    uncertain : bool
+        Whether another leader may have led in time that the service has lost.
     ended : bool
         Whether the term is over; an ended term never permits orders again.
     """
@@ -42,8 +46,34 @@
     lease_renewed_at: MonotonicSeconds
     _timings: OwnershipTimings
     _clock: Callable[[], MonotonicSeconds]
+    era: int = 0
+    uncertain: bool = False
     ended: bool = False
 
+    def continue_in_era(self, era: int, revision: int) -> bool:
+        """Continue the term after the platform's service was restored from a copy.
+
+        The copy contains the leader record and its lease. While the lease was valid
+        nobody else could lead; afterwards another instance may have led in time that
+        is lost.
+
+        Parameters
+        ----------
+        era, revision : int
+            Present era, and the revision of the leader record in it.
+
+        Returns
+        -------
+        bool
+            False if the term can't go on, because its grants were no longer renewed.
+        """
+        if not self.may_renew_grants():
+            return False
+        self.uncertain = not self.has_lease()
+        self.era = era
+        self.revision = revision
+        return True
+
     def may_move_ranges(self) -> bool:
         """Return whether the lease is valid with a safety margin for delays."""
         age_s = self._clock() - self.lease_renewed_at
--- a/basilwick/runtime/fleet/range_manager.py
+++ b/basilwick/runtime/fleet/range_manager.py
@@ -58,6 +58,9 @@
 
 #: Number of fencing tokens that a leader reserves at a time.
 _FENCES_PER_RESERVATION = 100_000
+#: Fencing tokens of each era of the platform's service, which may lose reservations
+#: when it is restored from a copy.
+_FENCES_PER_ERA = 1 << 32
 #: Timeout in seconds of a release order. The server finishes the requests that run on
 #: the range before it answers.
 _RELEASE_TIMEOUT_S = 3.0
@@ -72,7 +75,18 @@
 
 
 class LeaderAuthority(Protocol):
-    """Tells which orders the leader may send at the moment."""
+    """Tells which orders the leader may send at the moment.
+
+    Attributes
+    ----------
+    era : int
+        Era of the platform's service in which the leader is known to lead.
+    uncertain : bool
+        Whether another leader may have led in time that the service has lost.
+    """
+
+    era: int
+    uncertain: bool
 
     def may_move_ranges(self) -> bool:
         """Return whether the lease is valid with a safety margin for delays."""
@@ -126,6 +140,10 @@
         self._key = get_ranges_key(self.service)
         self._revision = 0
         self._reserved_end = 0
+        #: Era of the last known return of the service, and the latest one in which the
+        #: ranges are certainly complete.
+        self._era = 0
+        self._certain_era = 0
         self._writer_id = token_hex(8)
         self._tasks: set[asyncio.Task[None]] = set()
         self._server_starts_ms: dict[ServerName, int] = {}
@@ -147,9 +165,15 @@
         if item is not None:
             stored = decode_ranges(item.value)
             self._revision = item.revision
-        self._reserved_end = stored.reserved_end + _FENCES_PER_RESERVATION
+        self._era = self._store.era
+        outdated = self._is_outdated(stored)
+        self._certain_era = (stored.era or 0) if outdated else self._era
+        first_fence = max(1, stored.reserved_end)
+        if outdated:
+            first_fence = max(first_fence, self._era * _FENCES_PER_ERA)
+        self._reserved_end = first_fence + _FENCES_PER_RESERVATION
         await self._save(stored.ranges)
-        fences = FenceReservation(max(1, stored.reserved_end), self._reserved_end)
+        fences = FenceReservation(first_fence, self._reserved_end)
         table = RangeTable.restore(stored.ranges)
         self.controller = RangeController(
             self.service,
@@ -159,12 +183,15 @@
             self.selector,
             taken_over_at,
         )
+        if outdated:
+            self.controller.suspect_other_leader(taken_over_at)
         logger.bind(
             service=self.service,
             ranges=len(table.ranges),
             unfinished_moves=sum(bool(entry.former) for entry in stored.ranges),
             fence=fences.next_fence,
             revision=self._revision,
+            outdated=outdated,
         ).info("took over the ranges of a service")
 
     async def close(self) -> None:
@@ -173,10 +200,25 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _is_outdated(self, stored: StoredRanges) -> bool:
+        """Return whether changes of the stored ranges may be lost.
+
+        Without an era in the stored value, only a return of the service that this
+        instance has seen is known.
+        """
+        if stored.era is None:
+            return self._store.first_era != self._era
+        return stored.era < self._era
+
     def tick(self) -> None:
         """Send the orders that are due and store changed ranges."""
         controller = self.controller
         now = self._clock()
+        if self._authority.era > self._era:
+            self._handle_restore(now)
+        if self._certain_era != self._era and controller.certain:
+            self._certain_era = self._era
+            controller.dirty = True
         if not self._authority.may_renew_grants():
             return
         self._detect_restarts(now)
@@ -188,6 +230,17 @@
         if stored is not None:
             self._start_task(self._store_ranges(stored))
 
+    def _handle_restore(self, now: MonotonicSeconds) -> None:
+        """Store the ranges again, with fences that no lost reservation contains."""
+        self._era = self._authority.era
+        if self._authority.uncertain:
+            self.controller.suspect_other_leader(now)
+        first_fence = max(self._reserved_end, self._era * _FENCES_PER_ERA)
+        self._reserved_end = first_fence + _FENCES_PER_RESERVATION
+        # They can be used once the reservation is stored.
+        self.controller.fences = FenceReservation(first_fence, first_fence)
+        self.controller.dirty = True
+
     def _reserve_fences(self) -> None:
         """Reserve more fencing tokens with the next write once half are used."""
         fences = self.controller.fences
@@ -252,13 +305,17 @@
             )
             self.controller.deposed = True
         else:
-            self.controller.fences.end = reserved_end
+            fences = self.controller.fences
+            fences.end = max(fences.end, reserved_end)
             self.controller.finish_store(True, self._clock())
             self.tick()
 
     async def _save(self, ranges: Sequence[StoredRange]) -> None:
         """Write the ranges, again if an earlier write of this term came in between."""
-        value = encode_ranges(StoredRanges(self._reserved_end, ranges, self._writer_id))
+        stored = StoredRanges(
+            self._reserved_end, ranges, self._writer_id, self._certain_era
+        )
+        value = encode_ranges(stored)
         while not await self._write(value):
             pass
 
--- a/basilwick/runtime/fleet/stored_ranges.py
+++ b/basilwick/runtime/fleet/stored_ranges.py
@@ -39,11 +39,15 @@
     writer : str
         Identifies the leader's term that wrote the value; empty if an earlier version
         wrote it.
+    era : int or None
+        Era of the platform's service in which the ranges were certainly complete: no
+        other leader's changes were lost since. None if an earlier version wrote them.
     """
 
     reserved_end: int
     ranges: Sequence[StoredRange]
     writer: str = ""
+    era: int | None = None
 
 
 def get_ranges_key(service: str) -> str:
@@ -62,6 +66,7 @@
         "reserved": stored.reserved_end,
         "ranges": [[r.first, r.last, r.owner, r.former] for r in stored.ranges],
         "reached": [r.first for r in stored.ranges if r.former_reached],
+        "era": stored.era,
     }
     return compress(dumps(data))
 
@@ -83,6 +88,12 @@
             StoredRange(*row, former_reached=row[0] in reached)
             for row in data["ranges"]
         ]
-        return StoredRanges(reserved_end, ranges, str(data.get("writer", "")))
+        era = data.get("era")
+        return StoredRanges(
+            reserved_end,
+            ranges,
+            str(data.get("writer", "")),
+            None if era is None else int(era),
+        )
     except (ZlibError, JSONDecodeError, LookupError, TypeError) as error:
         raise ValueError(f"invalid stored ranges {value[:100]!r}: {error!r}") from error
--- a/tests/core/ranges/ownership_model.py
+++ b/tests/core/ranges/ownership_model.py
@@ -3,12 +3,12 @@
 Keys are grouped into blocks, and each move covers whole blocks. Servers keep fences and
 grants as the platform's servers do, and lose both when they restart. An order can be
 lost or carried out late, and its answer can be lost. Two leaders may reach different
-servers.
+servers. The store can be put back to a copy, which raises its era.
 """
 
 from __future__ import annotations
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from basilwick.core.ranges.controller import RangeController
 from basilwick.core.ranges.orders import (
@@ -24,6 +24,7 @@
 BLOCK_KEYS = KEY_COUNT // BLOCKS
 LEASE_MARGIN_S = 0.3
 RESERVED_FENCES = 1000
+FENCES_PER_ERA = 1_000_000
 
 
 def list_blocks(order):
@@ -82,6 +83,10 @@
     controller: RangeController
     revision: int
     lease_renewed_at: float
+    #: Era in which the leader is known to lead, and in which its ranges are complete.
+    era: int
+    certain_era: int
+    reserved_end: int
     pending_store: list | None = None
     store_reachable: bool = True
     alive: bool = True
@@ -117,6 +122,30 @@
                 self.controller.handle_server_restart(server.name, now)
 
 
+@define
+class StoreState:
+    """What the store holds; a copy of it can be restored.
+
+    Attributes
+    ----------
+    ranges : list of StoredRange
+    certain_era : int
+        Era in which the ranges were complete, as their writer knew.
+    reserved_end : int
+        Exclusive end of the reserved fences.
+    writer : ModelLeader
+        Leader that stored the ranges.
+    lease_holder : ModelLeader
+        Leader that the leader record names.
+    """
+
+    ranges: list = field(factory=list)
+    certain_era: int = 0
+    reserved_end: int = 1
+    writer: ModelLeader | None = None
+    lease_holder: ModelLeader | None = None
+
+
 @define(eq=False)
 class SiteModel:
     """The whole site; `now` is the local time of all leaders."""
@@ -124,12 +153,12 @@
     servers: dict[str, ModelServer]
     times: OwnershipTimings = field(factory=OwnershipTimings)
     now: float = 100.0
-    stored: list = field(factory=list)
-    next_free_fence: int = 1
+    state: StoreState = field(factory=StoreState)
+    copy: StoreState = field(factory=StoreState)
+    era: int = 0
     revision: int = 0
     leaders: list[ModelLeader] = field(factory=list)
     lease_until: float = 0.0
-    lease_holder: ModelLeader | None = None
     in_flight: list[InFlightOrder] = field(factory=list)
     delayed: list[InFlightOrder] = field(factory=list)
     #: Highest fence with which each server held each block.
@@ -146,8 +175,26 @@
                 return name
         return None
 
+    @property
+    def stored(self):
+        return self.state.ranges
+
+    @property
+    def lease_holder(self):
+        return self.state.lease_holder
+
     # Actions
 
+    def take_copy(self):
+        self.copy = evolve(self.state)
+
+    def restore(self):
+        """Put the store back to its copy; the copied lease begins anew."""
+        self.state = evolve(self.copy)
+        self.era += 1
+        self.revision += 1
+        self.lease_until = self.now + self.times.lease_s
+
     def take_over(self):
         """Start a new leader if the lease has expired or its holder is dead."""
         lease_holder = self.lease_holder
@@ -157,10 +204,12 @@
             and self.now < self.lease_until
         ):
             return
-        fences = FenceReservation(
-            self.next_free_fence, self.next_free_fence + RESERVED_FENCES
-        )
-        self.next_free_fence += RESERVED_FENCES
+        outdated = self.state.certain_era < self.era
+        first_fence = self.state.reserved_end
+        if outdated:
+            first_fence = max(first_fence, self.era * FENCES_PER_ERA)
+        fences = FenceReservation(first_fence, first_fence + RESERVED_FENCES)
+        self.state.reserved_end = fences.end
         self.revision += 1
         leader = ModelLeader(
             len(self.leaders),
@@ -174,19 +223,41 @@
             ),
             self.revision,
             self.now,
+            self.era,
+            self.state.certain_era if outdated else self.era,
+            fences.end,
         )
+        if outdated:
+            leader.controller.suspect_other_leader(self.now)
         leader.note_restarts(self.servers.values(), self.now)
         self.leaders.append(leader)
-        self.lease_holder = leader
+        self.state.lease_holder = self.state.writer = leader
         self.lease_until = self.now + self.times.lease_s
 
     def renew(self, leader):
         reached = (
             leader.alive and leader.store_reachable and leader is self.lease_holder
         )
-        if reached and self.now < self.lease_until:
-            leader.lease_renewed_at = self.now
-            self.lease_until = self.now + self.times.lease_s
+        if not reached or self.now >= self.lease_until:
+            return
+        self.lease_until = self.now + self.times.lease_s
+        if leader.era != self.era:
+            self.continue_in_era(leader)
+        leader.lease_renewed_at = self.now
+
+    def continue_in_era(self, leader):
+        """Let a leader go on after the store was restored, as the runtime does."""
+        age = self.now - leader.lease_renewed_at
+        if age >= self.times.autonomy_s:
+            leader.alive = False
+            return
+        leader.era = self.era
+        if age >= self.times.lease_s:
+            leader.controller.suspect_other_leader(self.now)
+        first_fence = max(leader.reserved_end, self.era * FENCES_PER_ERA)
+        leader.reserved_end = first_fence + RESERVED_FENCES
+        leader.controller.fences = FenceReservation(first_fence, first_fence)
+        leader.controller.dirty = True
 
     def tick(self, leader):
         """Advance a leader's controller as the runtime does."""
@@ -195,6 +266,9 @@
             return
         holds_lease = age < self.times.lease_s - LEASE_MARGIN_S
         controller = leader.controller
+        if leader.certain_era != leader.era and controller.certain:
+            leader.certain_era = leader.era
+            controller.dirty = True
         if leader.store_reachable:
             leader.note_restarts(self.servers.values(), self.now)
         controller.assign_unowned(
@@ -215,13 +289,17 @@
             leader.controller.finish_store(False, self.now)
             return
         stored, leader.pending_store = leader.pending_store, None
-        if leader.revision != self.revision:
+        if leader.revision != self.revision and self.state.writer is not leader:
             leader.alive = False
             return
         self.revision += 1
-        self.stored = stored
+        self.state.ranges = stored
+        self.state.certain_era = leader.certain_era
+        self.state.reserved_end = leader.reserved_end
         leader.revision = self.revision
         if answered:
+            fences = leader.controller.fences
+            fences.end = max(fences.end, leader.reserved_end)
             leader.controller.finish_store(True, self.now)
         else:
             leader.alive = False
--- a/tests/core/ranges/test_ownership_random_faults.py
+++ b/tests/core/ranges/test_ownership_random_faults.py
@@ -34,6 +34,8 @@
                 "restart server",
                 "cut link",
                 "mend link",
+                "copy store",
+                "restore store",
                 "calm",
             )
         ),
@@ -83,6 +85,10 @@
         model.lease_holder.unreachable_servers.add(server.name)
     elif action == "mend link":
         leader.unreachable_servers.discard(server.name)
+    elif action == "copy store":
+        model.take_copy()
+    elif action == "restore store":
+        model.restore()
     elif action == "calm":
         model.run(0.3)
 
@@ -117,9 +123,15 @@
     model.servers[reachable_server].registered = rng.random() < 0.5
 
 
-def inject_random_faults(model, rng, steps, isolation_probability=0.0):
+def inject_random_faults(
+    model, rng, steps, isolation_probability=0.0, restore_probability=0.0
+):
     """Run steps in which each event happens with a fixed probability."""
     for _ in range(steps):
+        if restore_probability and rng.random() < 2 * restore_probability:
+            model.take_copy()
+        if restore_probability and rng.random() < restore_probability:
+            model.restore()
         if isolation_probability and rng.random() < isolation_probability:
             isolate_lease_holder(model, rng)
         for leader in model.leaders[-3:]:
@@ -183,12 +195,24 @@
     inject_random_faults(model, rng, 400, isolation_probability=0.02)
 
 
+@pytest.mark.parametrize("seed", range(150))
+def test_a_block_never_has_two_holders_when_the_store_is_restored(seed):
+    """Owners and fences of a copy were used beside those of the time that was lost."""
+    rng = Random(seed)
+    model = build_model()
+    model.take_over()
+    model.run(0.5)
+    model.take_copy()
+    inject_random_faults(model, rng, 400, 0.005, restore_probability=0.015)
+
+
 def test_a_site_recovers_after_random_faults():
     """Every block is served again after the faults end."""
     for seed in range(20):
         model = build_model()
         model.take_over()
-        inject_random_faults(model, Random(seed), 200)
+        model.take_copy()
+        inject_random_faults(model, Random(seed), 200, 0.0, 0.01 * (seed % 2))
         for server in model.servers.values():
             server.reachable = server.registered = True
         model.lease_holder.alive = False
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -38,6 +38,8 @@
     clock: ManualClock
     freeze_s: float = 0.0
     lease_valid: bool = True
+    era: int = 0
+    uncertain: bool = False
 
     def may_renew_grants(self):
         return True
--- a/tests/runtime/fleet/test_range_manager.py
+++ b/tests/runtime/fleet/test_range_manager.py
@@ -19,6 +19,8 @@
 class RacingStore:
     """Store that lets all leaders read the ranges before any of them writes."""
 
+    era = first_era = 0
+
     def __init__(self, readers):
         self.item = None
         self._all_read = asyncio.Barrier(readers)
@@ -59,6 +61,8 @@
 class DelayedWriteStore:
     """Store that can apply a write late, after reporting that it got no answer."""
 
+    era = first_era = 0
+
     def __init__(self):
         self.item = None
         self.delayed_write = None
@@ -110,7 +114,10 @@
     """After 100,000 fencing tokens a leader sent no more orders but kept its lease."""
     store = DelayedWriteStore()
     authority = SimpleNamespace(
-        may_renew_grants=lambda: True, may_move_ranges=lambda: False
+        may_renew_grants=lambda: True,
+        may_move_ranges=lambda: False,
+        era=0,
+        uncertain=False,
     )
     selector = SimpleNamespace(service="maps", list_eligible_owners=lambda now: [])
     manager = RangeManager(
