Pass over entries of other writers whatever they contain

An odd entry among those of the servers stopped an instance from following the list (processes go on, LOST and 404 for routes added later). Cause: an error of a deeply nested value quoted the whole value, and RecursionError was not among the errors that are passed over, so the step that reads changes failed each time. The class: an error that nobody expected in one entry ended the work on all.

Any error now costs the entry alone, wherever entries are applied. Errors quote containers by their size. Numbers have bounds (slots of 2**63 and a warm-up of 1e308 ms were taken), ports are ASCII digits, addresses name one machine, and a server's name is printable ASCII: one with a line break was written into header fields of requests.

--- a/basilwick/platform/decoding.py
+++ b/basilwick/platform/decoding.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from ipaddress import ip_address
 from typing import Any, TypeAlias
 
 from attrs import frozen
-from orjson import JSONDecodeError, loads
+from orjson import loads
 
 from basilwick.core.dispatch.site import (
     CallerLimits,
@@ -45,8 +46,29 @@
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _MS = 0.001
 _MAX_PORT = 65_535
-#: Errors that are raised while a field of a wrong type or value is decoded.
-_DECODING_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+#: Largest values that make sense; larger ones are faults of their writer.
+_MAX_SLOTS = 100_000
+_MAX_DURATION_MS = 86_400_000
+_MAX_NUMBER = 1e12
+_MAX_STARTED_MS = 1 << 50
+_MAX_SEQUENCE = 1 << 40
+_MAX_ATTEMPTS = 1000
+_MAX_PRIORITY = 1000
+_MAX_CONNECTIONS = 1_000_000
+#: Names of servers are sent in header fields.
+_SERVER_NAME = re.compile(r"[!-~]{1,200}")
+#: Characters of a value that an error quotes.
+_QUOTED_CHARACTERS = 60
+#: Errors that are raised while a field of a wrong type or value is decoded. Values may
+#: be nested so deeply that comparing or printing them exceeds the recursion limit.
+_DECODING_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class UnreadableEntryError(ValueError):
@@ -95,7 +117,7 @@
             data = loads(value)
             version = _parse_version(data["version"])
             resources = list(data["resources"])
-        except (JSONDecodeError, KeyError, TypeError, ValueError) as error:
+        except _DECODING_ERRORS as error:
             raise UnreadableEntryError(f"configuration: {error!r}") from error
         builder = _ConfigurationBuilder(present, self._sound)
         for resource in resources:
@@ -120,20 +142,20 @@
         If a field is missing or has a value that is not allowed.
     """
     try:
+        if not _SERVER_NAME.fullmatch(name):
+            raise ValueError("the name must be printable ASCII without spaces")
         data = loads(value)
         entry = ServerEntry(
             name,
             _require_type(data["service"], str),
             _parse_address(data["address"]),
             _require_type(data["zone"], str),
-            _require_type(data["slots"], int),
-            _LEAVING_BY_STATE[data["state"]],
-            _read_non_negative(data, "warmupRemainingMs") * _MS,
-            _require_type(data.get("born", 0), int),
-            _require_type(data.get("sequence", 0), int),
+            _read_integer(data, "slots", None, 1, _MAX_SLOTS),
+            _LEAVING_BY_STATE[_require_type(data["state"], str)],
+            _read_duration(data, "warmupRemainingMs"),
+            _read_integer(data, "born", 0, 0, _MAX_STARTED_MS),
+            _read_integer(data, "sequence", 0, 0, _MAX_SEQUENCE),
         )
-        if entry.slots < 1:
-            raise ValueError(f"slots is {entry.slots}; it must be at least 1")
     except _DECODING_ERRORS as error:
         raise UnreadableEntryError(f"server {name!r}: {error!r}") from error
     return entry
@@ -169,7 +191,7 @@
             name = _require_type(resource["metadata"].get("name", ""), str)
             spec = _require_type(resource["specification"], dict)
         except _DECODING_ERRORS as error:
-            self.faults.append(f"resource {str(resource)[:100]}: {error!r}")
+            self.faults.append(f"resource {_quote(resource)}: {error!r}")
             return
         try:
             if kind in ("routes", "services"):
@@ -229,14 +251,14 @@
 
 def _parse_version(value: Any) -> int:
     if not isinstance(value, str) or not value.startswith("r"):
-        raise ValueError(f"version {value!r} is not 'r' followed by a number")
+        raise ValueError(f"version {_quote(value)} is not 'r' followed by a number")
     return int(value[1:])
 
 
 def _decode_route(name: str, spec: dict[str, Any]) -> Route:
     host, prefix = _decode_selector(spec)
     shares = spec.get("trafficSplit") or [{"service": spec["service"], "weight": 1}]
-    timeout_s = _read_non_negative(spec, "timeoutMs") * _MS
+    timeout_s = _read_duration(spec, "timeoutMs")
     return Route(
         name,
         host,
@@ -246,9 +268,9 @@
         ),
         tuple(_decode_target(share) for share in shares),
         timeout_s,
-        _read_non_negative(spec, "targetLatencyMs", timeout_s / _MS) * _MS,
-        _require_type(spec.get("priority", 0), int),
-        max(1, _require_type(spec.get("maxAttempts", 1), int)),
+        _read_duration(spec, "targetLatencyMs", timeout_s / _MS),
+        _read_integer(spec, "priority", 0, -_MAX_PRIORITY, _MAX_PRIORITY),
+        max(1, _read_integer(spec, "maxAttempts", 1, -_MAX_ATTEMPTS, _MAX_ATTEMPTS)),
         frozenset(_require_names(spec.get("homeRegions") or [])),
         large_responses=spec["kind"] == _LARGE_RESPONSES_KIND,
     )
@@ -272,7 +294,7 @@
     return ServiceSpec(
         name,
         _require_type(spec["healthCheckPath"], str),
-        _require_type(spec["maxConnections"], int),
+        _read_integer(spec, "maxConnections", None, 0, _MAX_CONNECTIONS),
         _read_non_negative(spec, "warmupS", 0.0),
         _read_non_negative(spec, "warmupPerS", float("inf")),
         spec.get("sharded", False) is True,
@@ -285,27 +307,53 @@
     return CallerLimits(
         int(_read_non_negative(spec, "maxHeaderBytes", default.header_bytes)),
         int(_read_non_negative(spec, "maxBodyBytes", default.body_bytes)),
-        _read_non_negative(spec, "headerTimeoutMs", default.header_timeout_s / _MS)
-        * _MS,
-        _read_non_negative(spec, "idleTimeoutMs", default.idle_timeout_s / _MS) * _MS,
+        _read_duration(spec, "headerTimeoutMs", default.header_timeout_s / _MS),
+        _read_duration(spec, "idleTimeoutMs", default.idle_timeout_s / _MS),
     )
 
 
 def _parse_address(value: Any) -> str:
     host, _, port = _require_type(value, str).rpartition(":")
-    ip_address(host)
-    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f"address {value!r} must have a port from 1 to {_MAX_PORT}")
+    address = ip_address(host)
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError(f"address {_quote(value)} must name one machine")
+    valid_port = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not valid_port or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(
+            f"address {_quote(value)} must have a port from 1 to {_MAX_PORT}"
+        )
     return value
 
 
 def _read_non_negative(
-    spec: dict[str, Any], name: str, default: float | None = None
+    spec: dict[str, Any],
+    name: str,
+    default: float | None = None,
+    maximum: float = _MAX_NUMBER,
 ) -> float:
     """Return a number that is not negative; a field without a default is required."""
+    if default is not None and name not in spec:
+        return default
+    value = spec[name]
+    if not 0 <= _require_type(value, (int, float)) <= maximum:
+        raise ValueError(f"{name} is {value!r}; it must be from 0 to {maximum:g}")
+    return value
+
+
+def _read_duration(
+    spec: dict[str, Any], name: str, default_ms: float | None = None
+) -> float:
+    """Return in seconds a duration that is given in milliseconds."""
+    return _read_non_negative(spec, name, default_ms, _MAX_DURATION_MS) * _MS
+
+
+def _read_integer(
+    spec: dict[str, Any], name: str, default: int | None, minimum: int, maximum: int
+) -> int:
+    """Return an integer within bounds; a field without a default is required."""
     value = spec[name] if default is None else spec.get(name, default)
-    if _require_type(value, (int, float)) < 0:
-        raise ValueError(f"{name} is {value!r}; it must not be negative")
+    if not minimum <= _require_type(value, int) <= maximum:
+        raise ValueError(f"{name} is {value!r}; it must be from {minimum} to {maximum}")
     return value
 
 
@@ -315,5 +363,12 @@
 
 def _require_type(value: Any, kind: type | tuple[type, ...]) -> Any:
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not of type {kind}")
+        raise TypeError(f"{_quote(value)} is not of type {kind}")
     return value
+
+
+def _quote(value: Any) -> str:
+    """Return a short text of a value; containers are only named."""
+    if isinstance(value, dict | list):
+        return f"a {type(value).__name__} of {len(value)} entries"
+    return repr(value)[:_QUOTED_CHARACTERS]
--- a/basilwick/platform/key_value_store.py
+++ b/basilwick/platform/key_value_store.py
@@ -52,6 +52,7 @@
     ValueError,
     AttributeError,
     OverflowError,
+    RecursionError,
 )
 
 
--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -454,11 +454,17 @@
         self._cursor.advance(packed.revision)
 
     def _apply(self, item: ItemVersion) -> None:
-        if self._is_internal(item.key):
-            self._internal_revision = max(self._internal_revision, item.revision)
-            self._observer.apply(item)
-        elif self._items.record(item):
-            self._applier.apply(item)
+        """Apply an item; an unexpected error costs this item alone."""
+        try:
+            if self._is_internal(item.key):
+                self._internal_revision = max(self._internal_revision, item.revision)
+                self._observer.apply(item)
+            elif self._items.record(item):
+                self._applier.apply(item)
+        except Exception as error:
+            logger.bind(
+                key=item.key[:200], revision=item.revision, reason=repr(error)[:200]
+            ).error("passed over an entry after an unexpected error")
 
 
 def _make_version(item: Item | Change) -> ItemVersion:
--- a/basilwick/runtime/fleet/stored_ranges.py
+++ b/basilwick/runtime/fleet/stored_ranges.py
@@ -95,5 +95,12 @@
             str(data.get("writer", "")),
             None if era is None else int(era),
         )
-    except (ZlibError, JSONDecodeError, LookupError, TypeError) as error:
+    except (
+        ZlibError,
+        JSONDecodeError,
+        LookupError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         raise ValueError(f"invalid stored ranges {value[:100]!r}: {error!r}") from error
--- a/basilwick/runtime/fleet/stored_state.py
+++ b/basilwick/runtime/fleet/stored_state.py
@@ -136,7 +136,14 @@
             revision,
             int(data.get("link_version", 1)),
         )
-    except (JSONDecodeError, KeyError, TypeError) as error:
+    except (
+        JSONDecodeError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ValueError(f"invalid leader record {value[:100]!r}: {error!r}") from error
 
 
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -135,7 +135,7 @@
         elif message_type is SharedChanges:
             values[-1] = tuple(ItemChange(*row) for row in values[-1])
         return message_type(*values)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, RecursionError) as error:
         raise ValueError(f"no message of a link: {line[:100]!r}") from error
 
 
