--- a/basilwick/runtime/fleet/site_watch.py
+++ b/basilwick/runtime/fleet/site_watch.py
@@ -13,7 +13,7 @@
 from attrs import evolve
 from loguru import logger
 
-from basilwick.core.dispatch.change_cursor import ChangeCursor, is_fresh
+from basilwick.core.dispatch.change_cursor import ChangeCursor
 from basilwick.core.dispatch.known_items import ItemVersion, KnownItems
 from basilwick.core.dispatch.messages import LeaderHeartbeat, SharedChanges
 from basilwick.core.dispatch.packed_changes import (
@@ -24,6 +24,7 @@
 )
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.platform.key_value_store import RevisionCompactedError, get_era
+from basilwick.runtime.fleet.catch_up import LeaderCatchUp
 from basilwick.runtime.fleet.item_applier import ItemApplier
 from basilwick.runtime.fleet.loops import run_periodically
 
@@ -62,10 +63,6 @@
 #: Range in seconds of the random delay after a failed call.
 _MIN_RETRY_DELAY_S = 0.15
 _MAX_RETRY_DELAY_S = 0.4
-#: Time in seconds without a part of the changes that the leader was asked for, after
-#: which an instance reads the service itself; it asks the leader again after a pause.
-_TRANSFER_TIMEOUT_S = 2.5
-_TRANSFER_PAUSE_S = 5.0
 #: Interval in seconds between checks while changes of the leader are expected.
 _TRANSFER_CHECK_INTERVAL_S = 0.05
 #: Time in seconds for which a starting instance waits until it knows whether there is a
@@ -144,10 +141,7 @@
         self._failing = False
         #: Era of the last revision that was listed or passed on.
         self._era: int | None = None
-        #: Whether the leader was asked for missing changes, and the local time before
-        #: which it is not asked again.
-        self._requested = False
-        self._no_request_before: MonotonicSeconds = float("-inf")
+        self._catch_up = LeaderCatchUp(link)
         #: Local time until which a starting instance waits for news of a leader; None
         #: until the internal items were read.
         self._leader_expected_until: MonotonicSeconds | None = None
@@ -203,7 +197,7 @@
             )
             await self._follow_leader(heartbeat, now)
             return _FOLLOWER_CHECK_INTERVAL_S
-        if self._ask_leader(heartbeat, heard_at, now):
+        if self._catch_up.expects_changes(self._cursor, now):
             return _TRANSFER_CHECK_INTERVAL_S
         if self._cursor.revision is None and await self._expect_leader(now):
             return _TRANSFER_CHECK_INTERVAL_S
@@ -224,36 +218,6 @@
         self._record_recovery()
         return _LEADER_UPDATE_INTERVAL_S if broadcasting else _UPDATE_INTERVAL_S
 
-    def _ask_leader(
-        self,
-        heartbeat: LeaderHeartbeat | None,
-        heard_at: MonotonicSeconds,
-        now: MonotonicSeconds,
-    ) -> bool:
-        """Ask the leader for missing changes; returns whether they are expected."""
-        knows_changes = (
-            heartbeat is not None
-            and heartbeat.revision > 0
-            and is_fresh(heartbeat, heard_at, now)
-            and self._link.sends_missing_changes
-        )
-        if not knows_changes or now < self._no_request_before:
-            self._requested = False
-            return False
-        if not self._requested:
-            self._requested = True
-            revision = self._cursor.revision
-            self._link.request_changes(-1 if revision is None else revision)
-            return True
-        if now - self._link.transfer_at < _TRANSFER_TIMEOUT_S:
-            return True
-        logger.bind(revision=self._cursor.revision).info(
-            "the leader sent no missing changes"
-        )
-        self._requested = False
-        self._no_request_before = now + _TRANSFER_PAUSE_S
-        return False
-
     async def _expect_leader(self, now: MonotonicSeconds) -> bool:
         """Return whether a starting instance should wait for a link to the leader."""
         if self._leader_expected_until is None:
@@ -424,7 +388,7 @@
 
     def _apply_packed(self, packed: PackedChanges) -> None:
         """Apply changes that the leader has packed."""
-        self._requested = False
+        self._catch_up.finish()
         known_revision = self._cursor.revision
         if not self._cursor.covers(packed.after, packed.complete):
             return
