Send nothing to servers that state that they leave or want nothing

Both are kept in one place, by server process. Leaving binds the instance that got the answer at once, reaches the deciding leader with the report of the send and a new leader with the link; keys move as for a registered leave; only another process ends it. A pause binds the instance, whose dispatch requests name the servers that want nothing of it, so any leader knows; if no other server can run a request, it is refused at once with the end of the pause. An instance asks again if a leader chooses a server that it knows to want nothing.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -17,6 +17,7 @@
 from basilwick.core.dispatch.messages import Assigned, Refused, SendOutcome
 from basilwick.core.dispatch.retry_window import RetryBudget, RetryWindow
 from basilwick.core.dispatch.server_selector import CapacityShare, ServerSelector
+from basilwick.core.dispatch.server_statements import LeavingServer
 from basilwick.core.dispatch.wait_queues import PendingRequest, WaitQueue
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from basilwick.core.dispatch.key_owners import KeyOwnerLookup
     from basilwick.core.dispatch.messages import (
         DispatchRequest,
+        LeavingReport,
         RateLimitReport,
         SendFinished,
     )
@@ -45,6 +47,8 @@
 #: Bounds in seconds of the retry-after time in refusals.
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 2.0
+#: Smallest factor of the jitter in retry-after times.
+_MIN_JITTER = 0.75
 #: Interval in seconds between checks whether keys of queued requests changed owner.
 _OWNER_CHECK_INTERVAL_S = 0.06
 #: Largest number of queued late requests per slot of the servers that can run them.
@@ -169,6 +173,8 @@
             )
         if done.warm_up_left_s:
             self._view.extend_warm_up(pending.server, done.warm_up_left_s, now)
+        if done.leaving:
+            self._view.record_leaving(pending.server)
 
     def cancel(
         self, request_id: Hashable, now: MonotonicSeconds
@@ -212,6 +218,10 @@
         """Record a rate limit that an instance knows from an earlier response."""
         self._view.record_rate_limit(report.server, report.rate_limit, now, now)
 
+    def record_leaving(self, report: LeavingReport) -> None:
+        """Record a server process that an instance knows to leave."""
+        self._view.apply_leaving(LeavingServer(report.server, report.started_ms))
+
     @property
     def share(self) -> CapacityShare:
         """Part of the servers' capacity that may be used."""
@@ -274,6 +284,11 @@
             if assigned is not None:
                 return assigned
         request = pending.request
+        if not self._selector.has_wanted_server(queue, request):
+            # The jitter must not bring the caller back before the pause ends.
+            wait_s = request.pause_left_s / _MIN_JITTER
+            reason = "servers want no requests for a while"
+            return self._refuse(request, wait_s, reason)
         latency_s = self._estimate_latency(queue, now)
         capacity = self._selector.measure_capacity(queue, latency_s, now)
         if not capacity.slots:
@@ -378,7 +393,7 @@
         return decision
 
     def _refuse(self, request: DispatchRequest, wait_s: float, reason: str) -> Refused:
-        jitter = 0.75 + 0.5 * self._rng.random()
+        jitter = _MIN_JITTER + 0.5 * self._rng.random()
         retry_after_s = max(wait_s * jitter, _MIN_RETRY_AFTER_S)
         retry_after_s = min(retry_after_s, _MAX_RETRY_AFTER_S)
         return Refused(request.number, retry_after_s, reason)
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -16,6 +16,7 @@
     "Hello",
     "ItemChange",
     "LeaderHeartbeat",
+    "LeavingReport",
     "LinkMessage",
     "RateLimitReport",
     "Refused",
@@ -90,6 +91,10 @@
         Data centre of the instance that sends the request.
     size_bytes : int
         Size of the request body and the expected response body together.
+    unwanted_servers : tuple of str
+        Servers that want no requests of the instance for a while.
+    pause_left_s : float
+        Seconds until the first of them wants requests again.
     """
 
     number: int
@@ -103,6 +108,8 @@
     home_regions: tuple[str, ...] = ()
     data_centre: str = ""
     size_bytes: int = 0
+    unwanted_servers: tuple[str, ...] = ()
+    pause_left_s: float = 0.0
 
 
 @frozen
@@ -125,6 +132,8 @@
         `UNLIMITED_RATE` if it states no limit. None if this is not known.
     warm_up_left_s : float
         Seconds for which the server states that it stays cold.
+    leaving : bool
+        Whether the server has stated that it leaves.
     """
 
     number: int
@@ -132,6 +141,21 @@
     latency_s: float
     rate_limit: float | None = None
     warm_up_left_s: float = 0.0
+    leaving: bool = False
+
+
+@frozen
+class LeavingReport:
+    """Tells a leader a server that the sender knows to leave, from its response.
+
+    Attributes
+    ----------
+    started_ms : int
+        Unix time in milliseconds at which the server's process started.
+    """
+
+    server: str
+    started_ms: int
 
 
 @frozen
@@ -284,6 +308,7 @@
     | CancelRequest
     | SendFinished
     | RateLimitReport
+    | LeavingReport
     | Assigned
     | Refused
     | LeaderHeartbeat
--- a/basilwick/core/dispatch/server_selector.py
+++ b/basilwick/core/dispatch/server_selector.py
@@ -133,6 +133,8 @@
         crossing_cost_s = request.size_bytes * _CROSS_DATA_CENTRE_S_PER_BYTE
         for candidate in self._list_candidates(queue, request):
             server, load, slots = candidate.server, candidate.load, candidate.slots
+            if server.name in request.unwanted_servers:
+                continue
             if load.in_flight >= slots or now < load.blocked_until:
                 continue
             cost_s = load.estimate_cost(typical_latency_s, slots, now)
@@ -156,6 +158,16 @@
             best.load.rate_bucket.take()
         return best.server
 
+    def has_wanted_server(self, queue: WaitQueue, request: DispatchRequest) -> bool:
+        """Return whether not all servers of a queue are unwanted by a request."""
+        if not request.unwanted_servers:
+            return True
+        candidates = self._list_candidates(queue, request)
+        return not candidates or any(
+            candidate.server.name not in request.unwanted_servers
+            for candidate in candidates
+        )
+
     def get_load(self, name: ServerName) -> ServerLoad:
         """Return the measured load of a server."""
         load = self._loads.get(name)
--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -7,6 +7,7 @@
 from attrs import define, evolve, field, frozen
 
 from basilwick.core.dispatch.messages import UNLIMITED_RATE
+from basilwick.core.dispatch.server_statements import LeavingServer, ServerStatements
 
 if TYPE_CHECKING:
     from basilwick.core.types import (
@@ -194,6 +195,7 @@
     #: Local times from which data centres that nobody takes out any longer are used.
     _return_at: dict[DataCentreName, MonotonicSeconds] = field(factory=dict)
     _platform_recovered_at: MonotonicSeconds = float("-inf")
+    _statements: ServerStatements = field(factory=ServerStatements)
 
     def apply_configuration(self, configuration: SiteConfiguration) -> bool:
         """Apply a configuration if it is newer; returns whether it was."""
@@ -411,6 +413,73 @@
             if registration.rate_limit < UNLIMITED_RATE
         }
 
+    def record_leaving(self, name: ServerName) -> bool:
+        """Record that a server states that it leaves; returns whether this is new."""
+        registration = self._servers.get(name)
+        if registration is None:
+            return False
+        return self.apply_leaving(LeavingServer(name, registration.server.started_ms))
+
+    def apply_leaving(self, server: LeavingServer) -> bool:
+        """Record that a server process leaves; returns whether this is new."""
+        is_new = self._statements.record_leaving(server)
+        self.version += is_new
+        return is_new
+
+    def list_leaving(self) -> list[LeavingServer]:
+        """Return the server processes that have stated that they leave."""
+        return self._statements.list_leaving()
+
+    def states_leaving(self, name: ServerName) -> bool:
+        """Return whether a server has stated in a response that it leaves."""
+        registration = self._servers.get(name)
+        return registration is not None and self._states_leaving(registration)
+
+    def _states_leaving(self, registration: _Registration) -> bool:
+        server = registration.server
+        return self._statements.is_leaving(server.name, server.started_ms)
+
+    def record_pause(
+        self, name: ServerName, seconds: float, now: MonotonicSeconds
+    ) -> bool:
+        """Record that a server wants no requests of this instance for some seconds.
+
+        Returns whether it was not pausing before.
+        """
+        registration = self._servers.get(name)
+        if registration is None:
+            return False
+        started_ms = registration.server.started_ms
+        return self._statements.record_pause(name, started_ms, seconds, now)
+
+    def list_pauses(self, now: MonotonicSeconds) -> dict[ServerName, float]:
+        """Return the servers that want no requests, and for how many seconds."""
+        pauses = {}
+        for name, started_ms in self._statements.iterate_paused():
+            registration = self._servers.get(name)
+            if registration is None or registration.server.started_ms != started_ms:
+                continue
+            left_s = self._statements.get_pause_left(name, started_ms, now)
+            if left_s > 0.0:
+                pauses[name] = left_s
+        return pauses
+
+    def remove_ended_pauses(self, now: MonotonicSeconds) -> list[ServerName]:
+        """Forget the pauses that have ended; returns their servers."""
+        return self._statements.remove_ended_pauses(now)
+
+    def may_send(self, name: ServerName, now: MonotonicSeconds) -> bool:
+        """Return whether nothing known here forbids sending a request to a server.
+
+        The leader that chose the server may know less than this instance.
+        """
+        registration = self._servers.get(name)
+        if registration is None:
+            return True
+        started_ms = registration.server.started_ms
+        paused = self._statements.get_pause_left(name, started_ms, now) > 0.0
+        return self.is_usable(name) and not paused
+
     def list_servers(self, service: ServiceName) -> list[ServerEntry]:
         """Return the servers of a service that may get new requests or keys."""
         return [
@@ -419,6 +488,7 @@
             if registration.server.service == service
             and registration.removal_at is None
             and not registration.server.leaving
+            and not self._states_leaving(registration)
             and registration.server.data_centre not in self.data_centres_out
         ]
 
@@ -428,6 +498,7 @@
         return (
             registration is not None
             and not registration.server.leaving
+            and not self._states_leaving(registration)
             and registration.server.data_centre not in self.data_centres_out
         )
 
--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -47,6 +47,11 @@
         connection and sends this rejection again before the response to the next one.
     rate_limit : str
         Rate limit in requests per second that responses state, "" for none.
+    leaving_statement : str
+        Value of the header with which responses state that the server leaves, "" for
+        none.
+    pause : str
+        Value of ``Retry-After`` with which requests are rejected, "" to run them.
     arrivals : list of float
         Local times at which requests for this server arrived.
     runs : list of Run
@@ -67,6 +72,8 @@
     service_time_s: float = 0.02
     fault: str = ""
     rate_limit: str = ""
+    leaving_statement: str = ""
+    pause: str = ""
     arrivals: list[float] = field(factory=list)
     address: str = "127.0.0.1:0"
     public_address: str = ""
@@ -179,6 +186,8 @@
         headers = {"X-Request-Id": request_id}
         if self.rate_limit:
             headers["Server-Limit"] = self.rate_limit
+        if self.leaving_statement:
+            headers["Server-Leaving"] = self.leaving_statement
         expected = request.headers.get("X-Expected-Instance", self.name)
         key = int(request.headers.get("X-Shard-Key", -1))
         held = not self.partitioned or self.holds(key)
@@ -186,6 +195,9 @@
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
         self.arrivals.append(monotonic())
         body = await request.read()
+        if self.pause:
+            headers |= {"X-Not-Executed": "1", "Retry-After": self.pause}
+            return web.Response(status=503, headers=headers)
         if self.fault == "shed" or self.waiting >= self.queue:
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
         if self.fault == "repeat" and self._reject_or_repeat(request, request_id):
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -240,6 +240,16 @@
             "Resources of the configuration in force that are not used as written.",
             registry=self.registry,
         )
+        self.leaving_servers = Gauge(
+            "basilwick_leaving_servers",
+            "Server processes that stated in a response that they leave.",
+            registry=self.registry,
+        )
+        self.paused_servers = Gauge(
+            "basilwick_paused_servers",
+            "Servers that want no requests of this instance for a while.",
+            registry=self.registry,
+        )
         self._server_rate_limits = Gauge(
             "basilwick_server_rate_limit",
             "Requests per second that a server states it takes from all instances.",
--- a/basilwick/platform/http_messages.py
+++ b/basilwick/platform/http_messages.py
@@ -33,6 +33,8 @@
 _NOT_RUN = b"x-not-executed"
 _WARM_UP_LEFT = b"x-warmup-remaining-ms"
 _RATE_LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _HANDOVER_TOKEN = b"x-handover"
 _MS = 0.001
 _MAX_KEY = 65_535
@@ -74,6 +76,10 @@
     rate_limit : float or None
         Requests per second that the server takes from all instances together,
         `UNLIMITED_RATE` if it states no limit, None if the limit is unreadable.
+    leaving : bool
+        Whether the server states that it leaves.
+    retry_after_s : float
+        Seconds for which the server wants no requests, 0 if not given or unreadable.
     """
 
     request_id: bytes
@@ -81,6 +87,8 @@
     warm_up_left_s: float
     handover_token: str | None
     rate_limit: float | None
+    leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 def read_request_metadata(fields: Iterable[tuple[bytes, bytes]]) -> RequestMetadata:
@@ -105,11 +113,17 @@
     """Read the metadata of a server's response."""
     values = {}
     rate_limit: float | None = UNLIMITED_RATE
+    leaving = False
+    retry_after_s = 0.0
     for name, value in fields:
         field_name = name.lower()
         values[field_name] = value
         if field_name == _RATE_LIMIT and rate_limit is not None:
             rate_limit = _parse_rate_limit(value, rate_limit)
+        elif field_name == _LEAVING:
+            leaving |= value.strip() == b"1"
+        elif field_name == _RETRY_AFTER:
+            retry_after_s = max(retry_after_s, _parse_number(value, 0.0))
     handover_token = values.get(_HANDOVER_TOKEN)
     return ResponseMetadata(
         values.get(_REQUEST_ID, b""),
@@ -117,6 +131,8 @@
         _parse_number(values.get(_WARM_UP_LEFT, b""), 0.0) * _MS,
         None if handover_token is None else handover_token.decode("latin-1"),
         rate_limit,
+        leaving,
+        retry_after_s,
     )
 
 
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -9,7 +9,12 @@
 from loguru import logger
 
 from basilwick.core.dispatch.caller_waits import CallerWaitEstimator
-from basilwick.core.dispatch.messages import DispatchRequest, Refused, SendOutcome
+from basilwick.core.dispatch.messages import (
+    DispatchRequest,
+    Refused,
+    SendFinished,
+    SendOutcome,
+)
 from basilwick.core.dispatch.response_sizes import ResponseSizeEstimator
 from basilwick.core.dispatch.routes import RouteTable
 from basilwick.core.types import Operation
@@ -30,6 +35,7 @@
 
     from aiohttp.web import BaseRequest
 
+    from basilwick.core.dispatch.dispatcher import DispatchDecision
     from basilwick.core.dispatch.messages import Assigned
     from basilwick.core.dispatch.site import Route, SiteView
     from basilwick.core.types import MonotonicSeconds
@@ -55,6 +61,10 @@
 #: Retry-After in seconds for a route whose definition is invalid. The route works again
 #: once operators publish a corrected version.
 _UNUSABLE_ROUTE_RETRY_S = 2.0
+#: Servers that are obtained for one attempt, and Retry-After in seconds if none of them
+#: wants requests.
+_MAX_ASSIGNMENTS = 3
+_UNWANTED_RETRY_S = 0.3
 _GATEWAY_TIMEOUT = 504
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
@@ -242,9 +252,7 @@
             and not context.caller_disconnected
         ):
             context.attempts += 1
-            decision, dispatch_client = await self._dispatcher.decide(
-                self._make_dispatch_request(context)
-            )
+            decision, dispatch_client = await self._obtain_server(context)
             if isinstance(decision, Refused):
                 context.reason = decision.reason
                 if failed_response is not None:
@@ -278,8 +286,32 @@
             return Answer(_BAD_GATEWAY)
         return _make_unavailable_response(retry_after_s)
 
+    async def _obtain_server(
+        self, context: _RequestContext
+    ) -> tuple[DispatchDecision, DispatchClient]:
+        """Return a server that nothing known here forbids, or a refusal.
+
+        A leader may choose a server although this instance knows more.
+        """
+        for _ in range(_MAX_ASSIGNMENTS):
+            request = self._make_dispatch_request(context)
+            decision, client = await self._dispatcher.decide(request)
+            if isinstance(decision, Refused):
+                return decision, client
+            if self._view.may_send(decision.server, self._clock()):
+                return decision, client
+            leaving = self._view.states_leaving(decision.server)
+            client.finish(
+                SendFinished(
+                    decision.number, SendOutcome.WITHDRAWN, 0.0, leaving=leaving
+                )
+            )
+        reason = "servers that were chosen want no requests"
+        return Refused(decision.number, _UNWANTED_RETRY_S, reason), client
+
     def _make_dispatch_request(self, context: _RequestContext) -> DispatchRequest:
         now = self._clock()
+        pauses = self._view.list_pauses(now)
         return DispatchRequest(
             0,
             context.service,
@@ -292,6 +324,8 @@
             tuple(context.route.home_regions),
             self._data_centre,
             context.body.size + self._response_sizes.estimate(context.route),
+            tuple(pauses),
+            min(pauses.values(), default=0.0),
         )
 
     async def _send_attempt(
--- a/basilwick/runtime/fleet/dispatch_runner.py
+++ b/basilwick/runtime/fleet/dispatch_runner.py
@@ -13,6 +13,7 @@
     from basilwick.core.dispatch.dispatcher import DispatchDecision, Dispatcher
     from basilwick.core.dispatch.messages import (
         DispatchRequest,
+        LeavingReport,
         RateLimitReport,
         SendFinished,
     )
@@ -102,6 +103,10 @@
         """Record the rate limit of a server that a peer knows."""
         self.dispatcher.record_rate_limit(report, self._clock())
 
+    def record_leaving(self, report: LeavingReport) -> None:
+        """Record a server that a peer knows to leave."""
+        self.dispatcher.record_leaving(report)
+
     def cancel(self, peer: Hashable, number: int) -> None:
         """Withdraw a dispatch request or a send of a peer."""
         request_id = (peer, number)
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -97,6 +97,7 @@
         self._listener = LinkListener(deployment.link_address, hello, read_clock)
         self._link = LeaderLink(hello, read_clock)
         self._link.list_rate_limits = self._view.list_rate_limits
+        self._link.list_leaving = self._view.list_leaving
         self._watch = SiteWatch(
             self._store,
             self._view,
@@ -261,6 +262,8 @@
             self._order_client.remove_address(server.address)
             self._fallback.dispatcher.remove_server(server.name)
             self.metrics.remove_server(server.name)
+        for server_name in self._view.remove_ended_pauses(read_clock()):
+            logger.bind(server=server_name).info("server wants requests again")
         for data_centre in self._view.take_back_due(read_clock()):
             logger.bind(data_centre=data_centre, out=False).info(
                 "data centre taken back"
@@ -295,5 +298,7 @@
         response = RawResponse(raw)
         fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
         self.metrics.set_rate_limits(self._view.list_rate_limits())
+        self.metrics.leaving_servers.set(len(self._view.list_leaving()))
+        self.metrics.paused_servers.set(len(self._view.list_pauses(read_clock())))
         await response.send(Answer(200, fields, self.metrics.render()))
         return response
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -17,6 +17,7 @@
     DispatchRequest,
     Hello,
     LeaderHeartbeat,
+    LeavingReport,
     RateLimitReport,
     Refused,
     SendFinished,
@@ -42,6 +43,7 @@
     from basilwick.core.dispatch.dispatcher import DispatchDecision
     from basilwick.core.dispatch.messages import LinkMessage
     from basilwick.core.dispatch.packed_changes import PackedChanges
+    from basilwick.core.dispatch.server_statements import LeavingServer
     from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
@@ -177,6 +179,8 @@
             runner.finish(link, message)
         elif isinstance(message, RateLimitReport):
             runner.record_rate_limit(message)
+        elif isinstance(message, LeavingReport):
+            runner.record_leaving(message)
         elif isinstance(message, CancelRequest):
             runner.cancel(link, message.number)
         elif isinstance(message, ChangesRequest):
@@ -254,6 +258,8 @@
         self.transfer_at: MonotonicSeconds = float("-inf")
         #: Returns the rate limits of servers that a new leader is told.
         self.list_rate_limits: Callable[[], dict[ServerName, float]] = dict
+        #: Returns the servers that have stated that they leave; a new leader is told.
+        self.list_leaving: Callable[[], list[LeavingServer]] = list
 
     @property
     def heartbeat(self) -> tuple[LeaderHeartbeat | None, MonotonicSeconds]:
@@ -329,12 +335,16 @@
             reply(None)
             return
         self._replies[request.number] = reply
+        if self._version < _STATEMENTS_VERSION:
+            request = evolve(request, unwanted_servers=(), pause_left_s=0.0)
         self._link.send(request)
 
     def finish(self, finished: SendFinished) -> None:
         """Report the outcome of a send."""
         if self._version < _STATEMENTS_VERSION:
-            finished = evolve(finished, rate_limit=None, warm_up_left_s=0.0)
+            finished = evolve(
+                finished, rate_limit=None, warm_up_left_s=0.0, leaving=False
+            )
         if self._link is not None:
             self._link.send(finished)
 
@@ -434,4 +444,6 @@
         if self._version >= _STATEMENTS_VERSION:
             for server, rate_limit in self.list_rate_limits().items():
                 link.send(RateLimitReport(server, rate_limit))
+            for leaving in self.list_leaving():
+                link.send(LeavingReport(leaving.name, leaving.started_ms))
         logger.bind(dependency="leader", address=address).info("linked to the leader")
--- a/basilwick/runtime/fleet/range_manager.py
+++ b/basilwick/runtime/fleet/range_manager.py
@@ -376,6 +376,8 @@
         if server is not None:
             answer = await self._call_server(order, server.address, decided_at)
         result, handover_token = _classify_answer(answer)
+        if result is OrderResult.OK and answer.metadata.leaving:
+            self._view.record_leaving(order.server)
         now = self._clock()
         if result is not OrderResult.OK:
             logger.bind(
--- a/basilwick/runtime/fleet/response_recorder.py
+++ b/basilwick/runtime/fleet/response_recorder.py
@@ -22,6 +22,8 @@
 
 #: Status by which a server rejects a request that was meant for another server.
 _STATUS_MISDIRECTED = 421
+#: Status by which a server rejects a request for now.
+_STATUS_REJECTED = 503
 
 
 @define(eq=False)
@@ -70,6 +72,8 @@
             return SendFinished(number, result.outcome, latency_s)
         if result.metadata.warm_up_left_s:
             self._view.extend_warm_up(server, result.metadata.warm_up_left_s, now)
+        if result.status != _STATUS_MISDIRECTED:
+            self._record_availability(server, result, now)
         rate_limit = _get_rate_limit(result)
         if rate_limit is not None:
             self._record_rate_limit(server, rate_limit, sent_at)
@@ -79,8 +83,23 @@
             latency_s,
             rate_limit,
             result.metadata.warm_up_left_s,
+            self._view.states_leaving(server),
         )
 
+    def _record_availability(
+        self, server: ServerName, response: ServerAnswer, now: MonotonicSeconds
+    ) -> None:
+        """Record whether a server leaves or wants no requests for a while."""
+        metadata = response.metadata
+        if metadata.leaving and self._view.record_leaving(server):
+            log_request_line("server states that it leaves", server=server)
+        pause_s = metadata.retry_after_s
+        rejected = response.status == _STATUS_REJECTED
+        if rejected and pause_s > 0.0 and self._view.record_pause(server, pause_s, now):
+            log_request_line(
+                "server wants no requests for a while", server=server, pause_s=pause_s
+            )
+
     def _record_rate_limit(
         self, server: ServerName, rate_limit: float, sent_at: MonotonicSeconds
     ) -> None:
--- a/tests/runtime/fleet/test_leader_links.py
+++ b/tests/runtime/fleet/test_leader_links.py
@@ -10,13 +10,16 @@
 from basilwick.core.dispatch.known_items import ItemVersion
 from basilwick.core.dispatch.messages import (
     ChangesPart,
+    DispatchRequest,
     Hello,
     LeaderHeartbeat,
+    LeavingReport,
     RateLimitReport,
     SendFinished,
     SendOutcome,
     SharedChanges,
 )
+from basilwick.core.dispatch.server_statements import LeavingServer
 from basilwick.runtime.fleet.change_sender import ChangeSender
 from basilwick.runtime.fleet.leader_links import (
     LeaderLink,
@@ -36,8 +39,8 @@
 
 
 @pytest.mark.parametrize("version", [1, 2])
-async def test_a_new_leader_is_told_the_known_rate_limits(version):
-    """A new leader knew no limits, and an earlier build closes links that tell them."""
+async def test_a_new_leader_is_told_what_servers_stated(version):
+    """A new leader knew nothing, and an earlier build closes links that tell it."""
     received = []
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
@@ -48,12 +51,16 @@
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     link = LeaderLink(Hello("i", "a"), monotonic)
     link.list_rate_limits = lambda: {"s": 13.5}
+    link.list_leaving = lambda: [LeavingServer("l", 7)]
     link.set_leader_address(address, version)
     await link.start()
     async with asyncio.timeout(2):
         while not received:
             await asyncio.sleep(0.01)
-    link.finish(SendFinished(1, SendOutcome.OK, 0.1, 7.0))
+    link.submit(
+        DispatchRequest(1, "s", 5, 2, 0.2, 1.0, unwanted_servers=("a",)), lambda _: None
+    )
+    link.finish(SendFinished(1, SendOutcome.OK, 0.1, 7.0, 0.0, True))
     async with asyncio.timeout(2):
         while not isinstance(received[-1], SendFinished):
             await asyncio.sleep(0.01)
@@ -62,6 +69,10 @@
     reports = [m for m in received if isinstance(m, RateLimitReport)]
     assert reports == ([RateLimitReport("s", 13.5)] if version == 2 else [])
     assert received[-1].rate_limit == (7.0 if version == 2 else None)
+    assert received[-1].leaving == (version == 2)
+    assert [*received[-2].unwanted_servers] == (["a"] if version == 2 else [])
+    leaving = [m for m in received if isinstance(m, LeavingReport)]
+    assert leaving == ([LeavingReport("l", 7)] if version == 2 else [])
 
 
 @pytest.mark.parametrize(("version", "told"), [(1, 0), (2, 0), (3, 3)])
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -15,6 +15,7 @@
     Hello,
     ItemChange,
     LeaderHeartbeat,
+    LeavingReport,
     RateLimitReport,
     Refused,
     SendFinished,
@@ -40,7 +41,10 @@
         CancelRequest(3),
         SendFinished(4, SendOutcome.SHED, 0.5),
         SendFinished(4, SendOutcome.OK, 0.5, 13.5),
+        SendFinished(4, SendOutcome.WITHDRAWN, 0.0, None, 0.0, True),
         RateLimitReport("s", 13.5),
+        LeavingReport("s", 1780345773000),
+        DispatchRequest(1, "s", 5, 2, 0.2, 1.0, unwanted_servers=("a",)),
         Assigned(5, "s", "10.0.0.1:1"),
         Refused(6, 0.5, "no room"),
         LeaderHeartbeat(10, 7, 0.25, 3),
@@ -71,7 +75,7 @@
 def test_messages_of_a_later_build_are_read_as_far_as_they_are_known():
     """Instances lost the leader while a new build was rolled out."""
     assert decode_message(b'["odd",1,{"a":2}]') is None
-    later = decode_message(b'["done",4,"ok",0.5,13.5,0.0,"new",[1]]')
+    later = decode_message(b'["done",4,"ok",0.5,13.5,0.0,false,"new",[1]]')
     assert later == SendFinished(4, SendOutcome.OK, 0.5, 13.5)
 
 
