Refuse at once what a lost leader's grants keep from being served

After a return of the service from a copy, a later leader grants nothing for 12.8 s. Requests for these keys waited up to their deadline as if the key were being handed over. They are now refused with the time at which the grants of the lost leader have ended.

--- a/basilwick/core/ranges/serving.py
+++ b/basilwick/core/ranges/serving.py
@@ -16,6 +16,8 @@
 
 #: Time in seconds before the end of its grant at which an owner gets no more requests.
 _SERVING_MARGIN_S = 0.15
+#: Shortest time in seconds after which a range without an owner is asked for again.
+_MIN_WAIT_S = 0.2
 
 
 def describe_owner(
@@ -27,9 +29,14 @@
             return KeyOwner(None, moving=True)
         if now < key_range.serving_until - _SERVING_MARGIN_S:
             return KeyOwner(key_range.owner)
+        if not key_range.confirmed:
+            # Nothing is granted until the grants of a lost leader have ended.
+            wait_s = key_range.latest_grant_end - now
+            return KeyOwner(None, available_in_s=max(_MIN_WAIT_S, wait_s))
         return KeyOwner(None, moving=not key_range.failures, available_in_s=0.3)
     if key_range.phase in (Phase.FENCING, Phase.RELEASING):
         return KeyOwner(None, moving=True)
     if key_range.phase is Phase.UNOWNED:
         return KeyOwner(None)
-    return KeyOwner(None, available_in_s=max(0.2, key_range.latest_grant_end - now))
+    wait_s = key_range.latest_grant_end - now
+    return KeyOwner(None, available_in_s=max(_MIN_WAIT_S, wait_s))
