Let the soak's servers state leaving, limits and pauses, and restore its store

The soak's servers stated nothing and its store could not go back, so no run of real processes covered either. They are drawn apart from the other faults, whose draws stay those of their seeds. Checked from what servers and callers saw: nothing reaches a server 2 s after the instance passed on that it leaves, and at most two requests of an instance reach one in the time in which it wants none.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from basilwick.fakes.kv_service import KvService
 
-__all__ = ["KeyServer", "Run"]
+__all__ = ["KeyServer", "Run", "Statement"]
 
 
 @frozen
@@ -29,6 +29,24 @@
     began_at: float
 
 
+@frozen
+class Statement:
+    """What a response stated about its server.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the server leaves.
+    pause_s : float
+        Seconds for which the server wants nothing of the instance.
+    """
+
+    request_id: str
+    stated_at: float
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 @define(eq=False)
 class KeyServer:
     """Backend server with request slots, key grants and a registration.
@@ -54,6 +72,10 @@
         Value of ``Retry-After`` with which requests are rejected, "" to run them.
     arrivals : list of float
         Local times at which requests for this server arrived.
+    arrived_ids : list of str
+        Identifiers of these requests.
+    statements : list of Statement
+        Statements about leaving and pauses that responses made.
     runs : list of Run
         Executed requests, in one list for all servers of a test.
     public_address : str
@@ -75,6 +97,8 @@
     leaving_statement: str = ""
     pause: str = ""
     arrivals: list[float] = field(factory=list)
+    arrived_ids: list[str] = field(factory=list)
+    statements: list[Statement] = field(factory=list)
     address: str = "127.0.0.1:0"
     public_address: str = ""
     leaving: bool = False
@@ -194,8 +218,13 @@
         if expected != self.name or not held:
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
         self.arrivals.append(monotonic())
+        self.arrived_ids.append(request_id)
         body = await request.read()
+        if self.leaving_statement:
+            self.statements.append(Statement(request_id, monotonic(), leaving=True))
         if self.pause:
+            pause_s = float(self.pause)
+            self.statements.append(Statement(request_id, monotonic(), pause_s=pause_s))
             headers |= {"X-Not-Executed": "1", "Retry-After": self.pause}
             return web.Response(status=503, headers=headers)
         if self.fault == "shed" or self.waiting >= self.queue:
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import define, frozen
@@ -13,9 +14,10 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
+    from basilwick.fakes.key_server import KeyServer
     from benchmarks.soak.site import Instance, SoakSite
 
-__all__ = ["PLANNED", "Fault", "draw_faults", "inject"]
+__all__ = ["PLANNED", "Fault", "draw_faults", "draw_statements", "inject"]
 
 #: Planned maintenance operations, during which no request may be lost.
 PLANNED = frozenset({"stop", "reload", "drain", "configure", "evacuate"})
@@ -25,6 +27,14 @@
 _RESTART_DELAY_S = 0.4
 #: Time in seconds between SIGTERM and SIGKILL.
 _STOP_TIMEOUT_S = 6.0
+#: Time in seconds for which the key-value service is away before it is restored.
+_AWAY_S = 0.5
+#: Time in seconds from a server's statement that it leaves to its end.
+_LEAVES_AFTER_S = 4.0
+#: Longest time in seconds for which a server states that it wants nothing.
+_PAUSE_STATED_S = 1.0
+#: Requests per second that a server with a limit states.
+_RATE_LIMIT = "6"
 
 
 @frozen
@@ -61,6 +71,10 @@
     def slot(self) -> str:
         return sorted(self.site.slots)[self.fault.where % len(self.site.slots)]
 
+    def slot_of(self, server: KeyServer) -> str:
+        """Return the slot in which a server runs."""
+        return next(s for s, found in self.site.slots.items() if found is server)
+
 
 def draw_faults(
     rng: Random, length_s: float, pause_s: float, planned_only: bool = False
@@ -74,7 +88,20 @@
     planned_only : bool
         Whether to draw only planned maintenance.
     """
-    kinds = sorted(PLANNED if planned_only else _ACTIONS)
+    return _draw(sorted(PLANNED if planned_only else _ACTIONS), rng, length_s, pause_s)
+
+
+def draw_statements(rng: Random, length_s: float, pause_s: float) -> list[Fault]:
+    """Draw statements of servers and returns of the key-value service at random.
+
+    They are drawn apart, so that the other faults of a seed stay the same.
+    """
+    return _draw(sorted(_STATEMENT_ACTIONS), rng, length_s, pause_s)
+
+
+def _draw(
+    kinds: list[str], rng: Random, length_s: float, pause_s: float
+) -> list[Fault]:
     faults = []
     at_s = rng.uniform(0.0, pause_s)
     while at_s < length_s:
@@ -92,12 +119,14 @@
 
 async def inject(site: SoakSite, fault: Fault) -> None:
     """Inject a fault and end it after its duration."""
-    await _ACTIONS[fault.kind](_Target(site, fault))
+    action = _ACTIONS.get(fault.kind) or _STATEMENT_ACTIONS[fault.kind]
+    await action(_Target(site, fault))
 
 
 async def _kill(target: _Target) -> None:
     instance = target.instance
     async with instance.restarting:
+        instance.interrupted_at.append(monotonic())
         await instance.process.kill()
         await _restart(instance)
 
@@ -105,6 +134,7 @@
 async def _stop(target: _Target) -> None:
     instance = target.instance
     async with instance.restarting:
+        instance.interrupted_at.append(monotonic())
         instance.process.resume()
         await instance.process.stop(_STOP_TIMEOUT_S)
         await _restart(instance)
@@ -113,16 +143,19 @@
 async def _restart(instance: Instance) -> None:
     await asyncio.sleep(_RESTART_DELAY_S)
     await instance.process.start()
+    instance.interrupted_at.append(monotonic())
 
 
 async def _pause(target: _Target) -> None:
     process = target.instance.process
     if not process.running:
         return
+    target.instance.interrupted_at.append(monotonic())
     process.pause()
     await asyncio.sleep(target.fault.for_s)
     if process.running:
         process.resume()
+    target.instance.interrupted_at.append(monotonic())
 
 
 async def _reload(target: _Target) -> None:
@@ -146,6 +179,14 @@
     target.site.store.drop_history()
 
 
+async def _restore_store(target: _Target) -> None:
+    store = target.site.store
+    async with target.site.restoring:
+        store.take_copy()
+        await asyncio.sleep(target.fault.for_s)
+        await target.site.restore_store(_AWAY_S)
+
+
 async def _inject_link_fault(proxy: object, target: _Target) -> None:
     proxy.set_fault(LinkFault(target.fault.how))
     await asyncio.sleep(target.fault.for_s)
@@ -180,6 +221,33 @@
         await target.site.crash_server(target.slot)
 
 
+async def _state_leaving(target: _Target) -> None:
+    """Let a server state that it leaves, which its registration doesn't say."""
+    server = target.site.slots[target.slot]
+    if server.leaving or server.leaving_statement:
+        return
+    server.leaving_statement = "1"
+    await asyncio.sleep(_LEAVES_AFTER_S)
+    if not server.leaving:
+        # The flag prevents a drain or a crash of a server that has left.
+        server.leaving = True
+        await target.site.crash_server(target.slot_of(server))
+
+
+async def _state_pause(target: _Target) -> None:
+    server = target.site.slots[target.slot]
+    server.pause = str(target.fault.for_s)
+    await asyncio.sleep(min(target.fault.for_s, _PAUSE_STATED_S))
+    server.pause = ""
+
+
+async def _state_limit(target: _Target) -> None:
+    server = target.site.slots[target.slot]
+    server.rate_limit = _RATE_LIMIT
+    await asyncio.sleep(target.fault.for_s)
+    server.rate_limit = ""
+
+
 async def _configure(target: _Target) -> None:
     await target.site.change_configuration(2500 + target.fault.where)
 
@@ -206,3 +274,9 @@
     "configure": _configure,
     "evacuate": _evacuate,
 }
+_STATEMENT_ACTIONS: dict[str, Callable[[_Target], Awaitable[None]]] = {
+    "store_restored": _restore_store,
+    "state_leaving": _state_leaving,
+    "state_limit": _state_limit,
+    "state_pause": _state_pause,
+}
--- a/benchmarks/soak/site.py
+++ b/benchmarks/soak/site.py
@@ -37,6 +37,8 @@
     ready: str
     process: ManagedProcess
     store_proxy: FaultProxy
+    #: Local times at which the process ended, was paused or resumed.
+    interrupted_at: list[float] = field(factory=list)
     #: Held while the process is ended and restarted.
     restarting: asyncio.Lock = field(factory=asyncio.Lock)
 
@@ -64,6 +66,8 @@
     ----------
     slots : dict of str to KeyServer
         Current server of each slot; its replacement gets a new name.
+    servers : list of KeyServer
+        All servers that were started.
     """
 
     directory: Path
@@ -73,8 +77,12 @@
     log: RunLog = field(init=False)
     instances: list[Instance] = field(factory=list)
     slots: dict[str, KeyServer] = field(factory=dict)
+    servers: list[KeyServer] = field(factory=list)
     proxies: dict[str, FaultProxy] = field(factory=dict)
+    #: Held while the key-value service has a copy that is to be restored.
+    restoring: asyncio.Lock = field(factory=asyncio.Lock)
     _version: int = 0
+    _timeout_ms: int = 0
     _servers_started: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -101,6 +109,7 @@
 
     async def change_configuration(self, timeout_ms: int) -> None:
         """Write a new version of the configuration, with a route timeout."""
+        self._timeout_ms = timeout_ms
         self._version += 2
         routes = {
             "read": {"pathPrefix": "/read/", "kind": "safe", "service": "maps"},
@@ -134,6 +143,29 @@
             "op/config", {"version": f"r{self._version}", "resources": resources}
         )
 
+    async def restore_store(self, away_s: float) -> None:
+        """Put the key-value service back to its copy.
+
+        Operators and servers write again what the copy lacks.
+        """
+        out = self.store.read("op/evacuate/b") is not None
+        self.store.down = True
+        await asyncio.sleep(away_s)
+        await self.store.restore()
+        self.store.down = False
+        await self.change_configuration(self._timeout_ms)
+        if out:
+            await self.store.put("op/evacuate/b", {})
+        elif self.store.read("op/evacuate/b") is not None:
+            await self.store.remove("op/evacuate/b")
+        registered = {f"servers/{server.name}" for server in self.slots.values()}
+        for server in self.servers:
+            key = f"servers/{server.name}"
+            if key in registered:
+                await server.register()
+            elif self.store.read(key) is not None:
+                await self.store.remove(key)
+
     async def add_server(self, slot: str) -> None:
         """Start a server in a slot, behind its own proxy."""
         self._servers_started += 1
@@ -153,6 +185,7 @@
         server.public_address = proxy.address
         await server.register()
         self.slots[slot], self.proxies[slot] = server, proxy
+        self.servers.append(server)
 
     async def drain_server(self, slot: str) -> None:
         """Drain the server of a slot and replace it."""
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -13,8 +13,9 @@
 from basilwick.testing import run_processes
 from benchmarks.soak.callers import SoakCallers
 from benchmarks.soak.checks import find_cut_calls, find_violations
-from benchmarks.soak.faults import Fault, draw_faults, inject
+from benchmarks.soak.faults import Fault, draw_faults, draw_statements, inject
 from benchmarks.soak.site import KEYS, SoakSite
+from benchmarks.soak.statements import find_statement_violations
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -27,6 +28,8 @@
 #: again: the sites' limit on recovery.
 _RECOVERY_TIMEOUT_S = 15.0
 _START_TIMEOUT_S = 20.0
+#: Mean time between two statements of servers, as a multiple of that between faults.
+_STATEMENT_PAUSE_FACTOR = 3.0
 
 
 @frozen
@@ -77,6 +80,10 @@
     """Run a soak; the logs of the instances stay in the directory."""
     rng = Random(plan.seed)
     faults = draw_faults(rng, plan.length_s, plan.pause_s, plan.planned_only)
+    if not plan.planned_only:
+        statements_rng = Random(f"statements {plan.seed}")
+        pause_s = _STATEMENT_PAUSE_FACTOR * plan.pause_s
+        faults += draw_statements(statements_rng, plan.length_s, pause_s)
     async with run_processes(directory) as group:
         site = SoakSite(directory, group, plan.instances)
         callers = SoakCallers(site, rng, plan.rate)
@@ -93,6 +100,11 @@
             await callers.close()
             await site.close()
     violations = find_violations(callers.calls, site.log)
+    violations += find_statement_violations(
+        callers.calls,
+        site.servers,
+        {instance.name: instance.interrupted_at for instance in site.instances},
+    )
     if plan.planned_only:
         violations += find_cut_calls(callers.calls, site.log)
     if recovered_s is None:
