--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 python3 - <<'PY'
 from pathlib import Path
 
-for pattern in ("review/standins/*.py", "review/*/driver.py", "basilwick/fakes/*.py"):
+for pattern in ("review/*.py", "review/*/driver.py", "basilwick/fakes/*.py"):
     for path in sorted(Path().glob(pattern)):
         compile(path.read_text(), str(path), "exec")
 import basilwick.fakes.kv_service  # the store of the scripts
--- a/review/standins/harness.py
+++ b/review/harness.py
@@ -26,7 +26,7 @@
 
 HOST = "site.example"
 HEARTBEAT_S = 0.87
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 #: The disruption is left out with TROUBLE=0.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
@@ -613,6 +613,9 @@
     record = Record(directory)
 
     async def run() -> str:
+        # The processes are ended also when the script itself is ended.
+        end = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
         with tempfile.TemporaryDirectory() as temporary:
             site = Site(record, Path(temporary))
             await site.store.start()
@@ -628,7 +631,7 @@
 
     try:
         fault = asyncio.run(run())
-    except (NotRunError, TimeoutError, OSError) as error:
+    except (NotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.add("not run", reason=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(EXIT_NOT_RUN)
