Let a review script that fails itself exit with 2

An unexpected error of a script, or a missing build, ended with Python's exit code 1, which reads as a broken rule.

Tried: an error raised in a script, SIGTERM to a running script (2, and no process left), and a run without the build (2).

--- a/review/harness.py
+++ b/review/harness.py
@@ -631,7 +631,8 @@
 
     try:
         fault = asyncio.run(run())
-    except (NotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever fails in the script itself is no broken rule.
         record.add("not run", reason=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(EXIT_NOT_RUN)
