Log answers that no request accepted, and the connection of each attempt

Change: the log line 'answer discarded' and a counter by reason; 'request answered' lists server, connection and status of each attempt. No decision uses them.

--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -263,6 +263,17 @@
             registry=self.registry,
         )
 
+        self._discarded_answers = Counter(
+            "basilwick_discarded_answers",
+            "Answers of servers that no request accepted, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
+
+    def count_discarded_answer(self, reason: str) -> None:
+        """Count an answer of a server that no request accepted."""
+        self._discarded_answers.labels(reason).inc()
+
     def observe_request(self, service: str, status: int, elapsed_s: float) -> None:
         """Count an answered request."""
         self._requests.labels(service, str(status)).inc()
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -88,6 +88,8 @@
         Whether an attempt has been sent to a server and has not ended.
     caller_disconnected : bool
         Whether the caller has closed its connection.
+    sends : list of str
+        Server, number of the connection and status or outcome of each attempt.
     """
 
     raw: BaseRequest
@@ -103,6 +105,7 @@
     may_have_run: bool = False
     in_flight: bool = False
     caller_disconnected: bool = False
+    sends: list[str] = field(factory=list)
     reason: str = ""
 
     @property
@@ -340,6 +343,7 @@
         sent_at = self._clock()
         try:
             result = await self._send_to_server(context, decision)
+            context.sends.append(_describe_send(decision.server, result))
             return result
         finally:
             context.in_flight = False
@@ -394,6 +398,7 @@
             status=answer.status,
             attempts=context.attempts,
             servers=context.tried_servers,
+            sends=context.sends,
             reason=context.reason,
             time_left_ms=round((context.metadata.time_left_s or 0.0) * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
@@ -439,6 +444,13 @@
     return Answer(_SERVICE_UNAVAILABLE, fields)
 
 
+def _describe_send(server: str, result: ServerAnswer | SendFailure) -> str:
+    """Return what the log tells of one attempt."""
+    if isinstance(result, SendFailure):
+        return f"{server} {result.outcome}"
+    return f"{server} {result.connection} {result.status}"
+
+
 def _get_body_size(body: bytes | ByteStream) -> int:
     """Return the length of a body in bytes, 0 if it is unknown."""
     return len(body) if isinstance(body, bytes) else body.length or 0
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -15,6 +15,7 @@
 from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import CallerLimits, SiteView
 from basilwick.core.ranges.orders import OwnershipTimings
+from basilwick.logs import log_request_line
 from basilwick.metrics import FleetMetrics
 from basilwick.platform.http_messages import read_response_metadata
 from basilwick.platform.key_value_store import KeyValueStore
@@ -37,6 +38,7 @@
 
     from basilwick.core.deployment import Deployment
     from basilwick.runtime.fleet.leader_term import LeaderTerm
+    from basilwick.transport.discarded_answers import DiscardedAnswer
 
 __all__ = ["FleetInstance"]
 
@@ -87,11 +89,16 @@
         self._view = SiteView()
         self._state = StoredState()
         self._store = KeyValueStore(deployment.platform_address, self.metrics.registry)
-        self._client = ServerClient(read_clock, read_response_metadata)
+        self._client = ServerClient(
+            read_clock, read_response_metadata, on_discarded=self._record_discarded
+        )
         # Responses to orders carry no request identity, so orders don't share
         # connections with requests.
         self._order_client = ServerClient(
-            read_clock, read_response_metadata, self._timings.order_timeout_s
+            read_clock,
+            read_response_metadata,
+            self._timings.order_timeout_s,
+            self._record_discarded,
         )
         hello = Hello(deployment.instance, deployment.data_centre, deployment.cores)
         self._listener = LinkListener(deployment.link_address, hello, read_clock)
@@ -288,6 +295,17 @@
             "settings changed; none of them can be applied without a restart"
         )
 
+    def _record_discarded(self, answer: DiscardedAnswer) -> None:
+        self.metrics.count_discarded_answer(answer.reason)
+        log_request_line(
+            "answer discarded",
+            address=answer.address,
+            reason=answer.reason,
+            connection=answer.connection,
+            request=answer.request_id.decode("latin-1"),
+            status=answer.status,
+        )
+
     async def _respond_ready(self, raw: BaseRequest) -> RawResponse:
         ready = not self._stopping and self._view.configuration is not None
         response = RawResponse(raw)
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -31,6 +31,8 @@
 #: Parsed answers that may be queued behind the one that is read. More of them close the
 #: connection, because no request asked for them.
 _MAX_QUEUED_ANSWERS = 8
+#: Numbers of the connections of this process, for log lines.
+_numbers = count(1)
 #: Errors after which a connection can give no answer.
 CONNECTION_ERRORS = (OSError, ClientError, HttpProcessingError, EofStream)
 
@@ -41,13 +43,28 @@
     aiohttp's protocol class parses the answers. `aiohttp.ClientSession` is not used,
     because it does not report whether a byte was written, when the last byte arrived,
     or which connection a request uses.
+
+    Parameters
+    ----------
+    on_unrequested : callable, optional
+        Called with the connection when data arrives that no request asked for.
+
+    Attributes
+    ----------
+    number : int
+        Number of the connection in this process.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, clock: Callable[[], MonotonicSeconds]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], MonotonicSeconds],
+        on_unrequested: Callable[[HttpConnection], None] = lambda _: None,
     ):
         super().__init__(loop)
         self._clock = clock
+        self._on_unrequested = on_unrequested
+        self.number = next(_numbers)
         self.received_at: MonotonicSeconds = 0.0
         self.idle_since: MonotonicSeconds = 0.0
         self._no_body: bool | None = None
@@ -78,6 +95,7 @@
         self.received_at = self._clock()
         if not self._awaiting_answer:
             self.abort_transport()
+            self._on_unrequested(self)
             return
         super().data_received(data)
         if len(self._buffer) > _MAX_QUEUED_ANSWERS:
--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -48,6 +48,8 @@
     tcp_user_timeout_s : float, optional
         Time in seconds after which the kernel closes a connection whose data the peer
         doesn't accept (TCP_USER_TIMEOUT), even if this process is stopped.
+    on_unrequested : callable, optional
+        Called with a connection when data arrives that no request asked for.
     """
 
     def __init__(
@@ -56,7 +58,10 @@
         max_connections: int,
         clock: Callable[[], MonotonicSeconds],
         tcp_user_timeout_s: float | None = None,
+        on_unrequested: Callable[[HttpConnection], None] = lambda _: None,
     ):
+        self._on_unrequested = on_unrequested
+        self.address = address
         host, _, port = address.rpartition(":")
         self._host, self._port = host.strip("[]"), int(port)
         self.max_connections = max_connections
@@ -207,7 +212,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
-                    lambda: HttpConnection(self._loop, self._clock),
+                    lambda: HttpConnection(
+                        self._loop, self._clock, self._on_unrequested
+                    ),
                     self._host,
                     self._port,
                 )
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -12,6 +12,7 @@
 from basilwick.core.errors import Refusal
 from basilwick.transport.connection import CONNECTION_ERRORS, AnswerStream
 from basilwick.transport.connection_pool import ConnectionPool
+from basilwick.transport.discarded_answers import DiscardedAnswer, DiscardReason
 from basilwick.transport.exchange import SMALL_BODY_BYTES, is_hop_by_hop_field
 
 if TYPE_CHECKING:
@@ -100,6 +101,8 @@
         Header fields that are forwarded to the caller.
     length : int or None
         Value of the answer's Content-Length, None without one.
+    connection : int
+        Number of the connection that carried it, in this process.
     """
 
     status: int
@@ -108,6 +111,7 @@
     length: int | None
     metadata: ResponseMetadata
     latency_s: float
+    connection: int = 0
 
 
 @frozen
@@ -149,11 +153,14 @@
     tcp_user_timeout_s : float, optional
         Time in seconds after which the kernel closes a connection whose data the
         server doesn't accept (TCP_USER_TIMEOUT).
+    on_discarded : callable, optional
+        Called with each answer that no request accepted.
     """
 
     _clock: Callable[[], MonotonicSeconds]
     _read_metadata: Callable[[Iterable[tuple[bytes, bytes]]], ResponseMetadata]
     _tcp_user_timeout_s: float | None = None
+    _on_discarded: Callable[[DiscardedAnswer], None] = lambda _: None
     _pools: dict[str, ConnectionPool] = field(factory=dict)
 
     async def close(self) -> None:
@@ -209,12 +216,20 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = ConnectionPool(
-                address, max_connections, self._clock, self._tcp_user_timeout_s
+                address,
+                max_connections,
+                self._clock,
+                self._tcp_user_timeout_s,
+                lambda connection: self._report_unrequested(address, connection),
             )
             self._pools[address] = pool
         pool.max_connections = max_connections
         return pool
 
+    def _report_unrequested(self, address: str, connection: HttpConnection) -> None:
+        reason = DiscardReason.UNREQUESTED
+        self._on_discarded(DiscardedAnswer(address, reason, connection.number))
+
     async def _send_on_connection(
         self, pool: ConnectionPool, request: ServerRequest, attempt: _Attempt
     ) -> ServerAnswer | SendFailure:
@@ -240,9 +255,9 @@
         attempt.wrote = True
         connection.write_head(data, request.method == "HEAD")
         if buffered:
-            message, payload = await self._read_own_head(connection, request)
+            message, payload = await self._read_own_head(pool, connection, request)
         else:
-            sent = await self._send_stream(connection, request)
+            sent = await self._send_stream(pool, connection, request)
             if isinstance(sent, SendFailure):
                 return sent
             message, payload = sent
@@ -252,7 +267,7 @@
         return answer
 
     async def _read_own_head(
-        self, connection: HttpConnection, request: ServerRequest
+        self, pool: ConnectionPool, connection: HttpConnection, request: ServerRequest
     ) -> tuple[RawResponseMessage, StreamReader]:
         for _ in range(_MAX_STRAY_ANSWERS):
             message, payload = await connection.read_head(_MAX_INTERIM_ANSWERS)
@@ -264,18 +279,27 @@
                 # taken for the answer to the next request on this connection.
                 connection.force_close()
                 return message, payload
+            self._on_discarded(
+                DiscardedAnswer(
+                    pool.address,
+                    DiscardReason.OTHER_IDENTITY,
+                    connection.number,
+                    request.request_id,
+                    message.code,
+                )
+            )
             _, ended = await _read_up_to(payload, SMALL_BODY_BYTES)
             if not ended:
                 break
         raise ConnectionError("the connection received answers to other requests")
 
     async def _send_stream(
-        self, connection: HttpConnection, request: ServerRequest
+        self, pool: ConnectionPool, connection: HttpConnection, request: ServerRequest
     ) -> tuple[RawResponseMessage, StreamReader] | SendFailure:
         upload = asyncio.create_task(
             _send_body(connection, request.body, request.chunked)
         )
-        head = asyncio.create_task(self._read_own_head(connection, request))
+        head = asyncio.create_task(self._read_own_head(pool, connection, request))
         try:
             await asyncio.wait({upload, head}, return_when=asyncio.FIRST_COMPLETED)
             if not head.done() and upload.exception() is None and not upload.result():
@@ -301,6 +325,7 @@
         payload: StreamReader,
     ) -> ServerAnswer:
         latency_s = self._clock() - attempt.sent_at
+        number = attempt.connection.number
         metadata = self._read_metadata(message.raw_headers)
         fields = []
         length = None
@@ -319,7 +344,9 @@
         else:
             body = AnswerStream(pool, attempt.connection, payload, length, body)
             attempt.connection = None
-        return ServerAnswer(message.code, fields, body, length, metadata, latency_s)
+        return ServerAnswer(
+            message.code, fields, body, length, metadata, latency_s, number
+        )
 
 
 async def _replace_closed(pool: ConnectionPool, connection: HttpConnection) -> None:
