Add failing tests: second answers with another status reach callers

The fake server draws a status for each request and answers some a second time, with another status, after 1 to 200 ms or before the answer to the next request on the connection. A second play cuts these answers off within their head.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -13,9 +13,13 @@
 
 if TYPE_CHECKING:
     from basilwick.fakes.kv_service import KvService
+    from basilwick.fakes.second_answers import SecondAnswers
 
 __all__ = ["KeyServer", "Run", "Statement"]
 
+#: Time in seconds after which the first answer to a request has been written.
+_FIRST_ANSWER_S = 0.001
+
 
 @frozen
 class Run:
@@ -70,6 +74,10 @@
         none.
     pause : str
         Value of ``Retry-After`` with which requests are rejected, "" to run them.
+    second_answers : SecondAnswers or None
+        Decides the statuses of responses and answers some requests twice.
+    first_answers : list of pairs
+        Identifier and status of each response, without second ones.
     arrivals : list of float
         Local times at which requests for this server arrived.
     arrived_ids : list of str
@@ -96,6 +104,8 @@
     rate_limit: str = ""
     leaving_statement: str = ""
     pause: str = ""
+    second_answers: SecondAnswers | None = None
+    first_answers: list[tuple[str, int]] = field(factory=list)
     arrivals: list[float] = field(factory=list)
     arrived_ids: list[str] = field(factory=list)
     statements: list[Statement] = field(factory=list)
@@ -217,6 +227,10 @@
         held = not self.partitioned or self.holds(key)
         if expected != self.name or not held:
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
+        status = 200
+        if self.second_answers is not None:
+            self.second_answers.write_waiting(request.transport)
+            status = self.second_answers.draw_status()
         self.arrivals.append(monotonic())
         self.arrived_ids.append(request_id)
         body = await request.read()
@@ -227,7 +241,8 @@
             self.statements.append(Statement(request_id, monotonic(), pause_s=pause_s))
             headers |= {"X-Not-Executed": "1", "Retry-After": self.pause}
             return web.Response(status=503, headers=headers)
-        if self.fault == "shed" or self.waiting >= self.queue:
+        if self.fault == "shed" or self.waiting >= self.queue or status == 503:
+            self._record_answer(request, request_id, 503)
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
         if self.fault == "repeat" and self._reject_or_repeat(request, request_id):
             return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
@@ -255,7 +270,22 @@
             if not self.running:
                 self._idle.set()
             self._free_slots.release()
-        return self._respond(request, headers)
+        return self._respond(request, headers, status)
+
+    def _record_answer(
+        self, request: web.Request, request_id: str, status: int
+    ) -> None:
+        self.first_answers.append((request_id, status))
+        if self.second_answers is not None:
+            # The first answer is written after the handler has returned.
+            asyncio.get_running_loop().call_later(
+                _FIRST_ANSWER_S,
+                self.second_answers.schedule,
+                request.transport,
+                request_id,
+                self.name,
+                status,
+            )
 
     def _reject_or_repeat(self, request: web.Request, request_id: str) -> bool:
         """Repeat the rejection that the connection got; returns False if it had one."""
@@ -279,7 +309,9 @@
         asyncio.get_running_loop().call_later(0.1, request.transport.abort)
         return web.Response()
 
-    def _respond(self, request: web.Request, headers: dict) -> web.Response:
+    def _respond(
+        self, request: web.Request, headers: dict, status: int
+    ) -> web.Response:
         if self.fault == "lose":
             request.transport.abort()
         if self.fault == "stray":
@@ -292,5 +324,8 @@
         load = f"{self.running},{self.waiting},{self.slots},100"
         headers = {**headers, "X-Server-Load": load, "X-Response-Signature": self.name}
         if self.fault == "fail":
+            status = 500
+        self._record_answer(request, headers["X-Request-Id"], status)
+        if status == 500:
             return web.Response(status=500, headers=headers)
         return web.Response(body=self.name.encode() * 10, headers=headers)
--- /dev/null
+++ b/tests/runtime/fleet/test_second_answers.py
@@ -0,0 +1,79 @@
+"""Callers' answers while servers answer requests twice, with different statuses."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+import pytest_asyncio
+from aiohttp import ClientError
+from fleet_site import FleetSite
+
+from basilwick.fakes.second_answers import SecondAnswers
+
+#: Requests of one play, and how many of them are sent at a time.
+REQUESTS = 600
+CONCURRENT_REQUESTS = 12
+
+
+@pytest_asyncio.fixture
+async def site():
+    site = FleetSite()
+    try:
+        await site.start()
+        yield site
+    finally:
+        await site.close()
+
+
+async def play(site, rng, **options):
+    """Return the answers that no server gave first, as (kind, status, answers)."""
+    for server in site.servers:
+        server.second_answers = SecondAnswers(rng, **options)
+    wrong = []
+
+    async def call(number):
+        request_id = f"s{number}"
+        index = number % len(site.instances)
+        order = number % 3 == 0
+        key = str(rng.randrange(65_536))
+        try:
+            if order:
+                response = await site.order(index, **{"X-Request-Id": request_id})
+            else:
+                response = await site.read(key, index, **{"X-Request-Id": request_id})
+        except ClientError:
+            return
+        signature = response.headers.get("X-Response-Signature")
+        if response.status != 200 and signature is None:
+            return
+        answers = [
+            (status, server.name)
+            for server in site.servers
+            for answered_id, status in server.first_answers
+            if answered_id == request_id
+        ]
+        whole = response.status != 200 or response.body == signature.encode() * 10
+        if (response.status, signature) not in answers or not whole:
+            wrong.append(("order" if order else "read", response.status, answers))
+
+    for first in range(0, REQUESTS, CONCURRENT_REQUESTS):
+        numbers = range(first, first + CONCURRENT_REQUESTS)
+        await asyncio.gather(*(call(number) for number in numbers))
+    return wrong
+
+
+@pytest.mark.parametrize(
+    "statuses",
+    [(200, 200, 500), (200, 200, 503), (200, 500, 503)],
+    ids=["failing", "rejecting", "both"],
+)
+async def test_a_second_answer_with_another_status_reaches_no_caller(site, statuses):
+    """Callers got a success where the server had answered a failure."""
+    assert await play(site, Random(1), statuses=statuses) == []
+
+
+async def test_a_second_answer_cut_off_in_its_head_reaches_no_caller(site):
+    """The next answer was read as the rest of the head, with the status of both."""
+    assert await play(site, Random(2), statuses=(200, 500, 503), cut=True) == []
