Read no head as the rest of one that was cut off

Cause: a server's second answer can end within its head. The piece stays in the connection's parser, and the next answer on the connection is read as its continuation: 'HTTP/1.1 200 OK' and 'HTTP/1.1 500 Failed' become a 200 with a long reason phrase and the fields of the second one, or the second status line becomes the end of a field's value. Nothing looked at what the parser held when a connection went back to its pool, and the identity came from the later head.

Change: an answer whose reason phrase or field holds a status line is refused, and its connection closed. A connection goes back to its pool only if its parser stands between two answers, which a probe answer tells. Both hold for 'basilwick serve' too, which uses the same connections.

--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from itertools import count
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
 from struct import pack
@@ -24,13 +25,19 @@
     from basilwick.core.types import MonotonicSeconds
     from basilwick.transport.connection_pool import ConnectionPool
 
-__all__ = ["CONNECTION_ERRORS", "AnswerStream", "HttpConnection"]
+__all__ = ["CONNECTION_ERRORS", "AnswerStream", "HttpConnection", "MergedHeadsError"]
 
 #: SO_LINGER enabled with a timeout of 0 s: closing the socket resets the connection.
 _RESET_ON_CLOSE = pack("ii", 1, 0)
 #: Parsed answers that may be queued behind the one that is read. More of them close the
 #: connection, because no request asked for them.
 _MAX_QUEUED_ANSWERS = 8
+#: Start of an answer. Inside a field or a reason phrase, it shows that a head was cut
+#: off and the next one followed.
+_STATUS_LINE_START = re.compile(r"HTTP/\d\.\d \d{3}")
+#: An answer that the parser reads as such only if it has read the earlier ones to their
+#: end.
+_PROBE_ANSWER = b"HTTP/1.1 204 probe\r\n\r\n"
 #: Identities of requests that a connection remembers, after which it is not reused.
 _MAX_IDENTITIES = 256
 #: Numbers of the connections of this process, for log lines.
@@ -39,6 +46,10 @@
 CONNECTION_ERRORS = (OSError, ClientError, HttpProcessingError, EofStream)
 
 
+class MergedHeadsError(ConnectionError):
+    """A head was cut off and another one followed, so neither can be trusted."""
+
+
 class HttpConnection(ResponseHandler):
     """One HTTP/1.1 connection that carries one request at a time.
 
@@ -186,19 +197,50 @@
         Raises
         ------
         ConnectionError
-            If more interim answers came.
+            If more interim answers came, or if two heads were read as one.
         """
         for skipped in count():
             message, payload = await self.read()
+            if _contains_status_line(message):
+                raise MergedHeadsError("the head of an answer contains another one")
             if message.code >= 200:
                 return message, payload
             if skipped == max_interim:
                 break
         raise ConnectionError(f"more than {max_interim} interim answers")
 
-    def end_exchange(self) -> None:
-        """End the exchange; data before the next request is then unexpected."""
+    def end_exchange(self) -> bool:
+        """End the exchange; data before the next request is then unexpected.
+
+        Returns
+        -------
+        bool
+            Whether the connection can carry another request.
+        """
         self._awaiting_answer = False
+        if not self.usable:
+            return False
+        if self._is_within_answer():
+            self._on_unrequested(self)
+            return False
+        return True
+
+    def _is_within_answer(self) -> bool:
+        """Return whether the parser has read a part of another answer.
+
+        aiohttp's parser does not tell. It would read the next answer as the rest of
+        that part.
+        """
+        if self._parser is None:
+            return False
+        try:
+            messages, _, _ = self._parser.feed_data(_PROBE_ANSWER)
+        except (ClientError, HttpProcessingError):
+            return True
+        if len(messages) != 1:
+            return True
+        message, _ = messages[0]
+        return message.reason != "probe" or bool(message.raw_headers)
 
     def fail(self, error: Exception) -> None:
         """Close the connection with an error, which its reader raises."""
@@ -212,6 +254,12 @@
             self.transport.abort()
 
 
+def _contains_status_line(message: RawResponseMessage) -> bool:
+    texts = [message.reason or ""]
+    texts += [v.decode("latin-1") for _, v in message.raw_headers if b"HTTP/" in v]
+    return any(_STATUS_LINE_START.search(text) for text in texts)
+
+
 class AnswerStream:
     """Body of an answer that is forwarded in pieces.
 
--- a/basilwick/transport/connection_pool.py
+++ b/basilwick/transport/connection_pool.py
@@ -160,8 +160,7 @@
 
     def release(self, connection: HttpConnection, reusable: bool) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
-        if reusable and connection.usable and not self._closed:
-            connection.end_exchange()
+        if reusable and not self._closed and connection.end_exchange():
             connection.idle_since = self._clock()
             self._idle.append(connection)
         else:
--- a/basilwick/transport/discarded_answers.py
+++ b/basilwick/transport/discarded_answers.py
@@ -14,8 +14,10 @@
 
     #: The answer carries the identity of another request.
     OTHER_IDENTITY = "other_identity"
-    #: Data arrived while no request was waiting.
+    #: Data arrived while no request was waiting, or behind a whole answer.
     UNREQUESTED = "unrequested"
+    #: A head was cut off, and another one followed.
+    MERGED_HEADS = "merged_heads"
 
 
 @frozen
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -10,7 +10,11 @@
 
 from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.errors import Refusal
-from basilwick.transport.connection import CONNECTION_ERRORS, AnswerStream
+from basilwick.transport.connection import (
+    CONNECTION_ERRORS,
+    AnswerStream,
+    MergedHeadsError,
+)
 from basilwick.transport.connection_pool import ConnectionPool
 from basilwick.transport.discarded_answers import DiscardedAnswer, DiscardReason
 from basilwick.transport.exchange import SMALL_BODY_BYTES, is_hop_by_hop_field
@@ -197,6 +201,10 @@
         except CONNECTION_ERRORS as error:
             if attempt.connection is None:
                 return SendFailure(SendOutcome.UNREACHABLE, False, repr(error))
+            if isinstance(error, MergedHeadsError):
+                self._report_discarded(
+                    pool, attempt.connection, request, DiscardReason.MERGED_HEADS
+                )
             return SendFailure(SendOutcome.LOST, attempt.wrote, repr(error))
         except Exception as error:
             # No input from a server may leave the caller without an answer or its slot
@@ -227,6 +235,20 @@
         reason = DiscardReason.UNREQUESTED
         self._on_discarded(DiscardedAnswer(address, reason, connection.number))
 
+    def _report_discarded(
+        self,
+        pool: ConnectionPool,
+        connection: HttpConnection,
+        request: ServerRequest,
+        reason: DiscardReason,
+        status: int = 0,
+    ) -> None:
+        self._on_discarded(
+            DiscardedAnswer(
+                pool.address, reason, connection.number, request.request_id, status
+            )
+        )
+
     async def _send_on_connection(
         self, pool: ConnectionPool, request: ServerRequest, attempt: _Attempt
     ) -> ServerAnswer | SendFailure:
@@ -276,14 +298,8 @@
                 # taken for the answer to the next request on this connection.
                 connection.force_close()
                 return message, payload
-            self._on_discarded(
-                DiscardedAnswer(
-                    pool.address,
-                    DiscardReason.OTHER_IDENTITY,
-                    connection.number,
-                    request.request_id,
-                    message.code,
-                )
+            self._report_discarded(
+                pool, connection, request, DiscardReason.OTHER_IDENTITY, message.code
             )
             _, ended = await _read_up_to(payload, SMALL_BODY_BYTES)
             if not ended:
