Reuse no connection whose request was not written to its end

Cause: when the answer of a server and the early end of the caller's body arrived together, as after a freeze of the process, the body counted as sent because its task had ended, and the connection went back to its pool.

Change: a body counts as sent only if its task ended with its last piece; otherwise the connection is closed.

--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -324,7 +324,7 @@
                     SendOutcome.WITHDRAWN, True, "the caller's body ended early"
                 )
             message, payload = await head
-            if not upload.done():
+            if not _has_sent_all(upload):
                 # The server would parse the next request as the rest of this body.
                 connection.force_close()
             return message, payload
@@ -366,6 +366,13 @@
         )
 
 
+def _has_sent_all(upload: asyncio.Task[bool]) -> bool:
+    """Return whether a body was sent to its end."""
+    if not upload.done() or upload.cancelled() or upload.exception() is not None:
+        return False
+    return upload.result()
+
+
 async def _replace_closed(pool: ConnectionPool, connection: HttpConnection) -> None:
     try:
         await pool.replace(connection)
