Report the end of an answer that was closed as a failure

Reading on from a streamed answer that had been closed before its end returned an empty piece, which means the end of a whole body; with chunked transfer encoding a caller would have taken the rest as complete. Nothing is known to have done so.

Evidence: the new test failed and passes.

--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -296,11 +296,18 @@
         self._pool = pool
         self._connection: HttpConnection | None = connection
         self._payload = payload
+        self._ended = False
 
     async def read_chunk(self) -> bytes | Refusal:
         """Return the next piece, empty at the end, or a refusal on failure."""
-        if self._connection is None:
+        if self._ended:
             return b""
+        if self._connection is None:
+            return make_refusal(
+                ErrorKind.CONNECTION_LOST,
+                "the answer was closed before its end",
+                outcome=Outcome.UNKNOWN,
+            )
         if self._first_chunk:
             chunk, self._first_chunk = self._first_chunk, b""
             return chunk
@@ -314,6 +321,7 @@
                 outcome=Outcome.UNKNOWN,
             )
         if not chunk:
+            self._ended = True
             self._end(reusable=True)
         return chunk
 
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -10,6 +10,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from basilwick.core.errors import Refusal
 from basilwick.platform.http_messages import read_response_metadata
 from basilwick.transport.connection import AnswerStream
 from basilwick.transport.server_client import (
@@ -285,3 +286,13 @@
         server.close()
 
     asyncio.run(send_request())
+
+
+async def test_an_answer_closed_before_its_end_does_not_look_complete(
+    client, start_server
+):
+    """The reader of an answer that was closed saw the end of its body."""
+    server = await start_server(MATCHING_HEAD + CHUNKED_FIELD, CHUNK)
+    result = await client.send(server.address, REQUEST, 2.0, 4)
+    result.body.close()
+    assert isinstance(await result.body.read_chunk(), Refusal)
