Close each server's answer that the handling of a request leaves

Cause: an answer above the buffered size keeps its connection until its body is read or closed. Three ways of the handling dropped one without closing it: the answer of an attempt that a retry replaced, a rejection with a long body, and any answer whose caller had left. Each took a connection to its server for good.

Change: the handling of a request has one owner of its answers, which closes what was not read to its end when the handling ends, and at once what arrives later. An answer that is replaced is closed when it is replaced.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -19,6 +19,9 @@
 
 #: Time in seconds after which the first answer to a request has been written.
 _FIRST_ANSWER_S = 0.001
+#: Pieces of a response body without end, and the pause in seconds between them.
+_ENDLESS_PIECE_BYTES = 16_384
+_ENDLESS_INTERVAL_S = 0.005
 
 
 @frozen
@@ -66,7 +69,11 @@
         "shed" rejects them, "stray" sends a response with another request id before
         the right one, "fail" responds with status 500, "break" resets the connection
         in the middle of a response body, and "repeat" rejects the first request of each
-        connection and sends this rejection again before the response to the next one.
+        connection and sends this rejection again before the response to the next one,
+        "endless" sends response bodies without end, and "early" responds before it has
+        read the request's body, and goes on reading it.
+    response_bytes : int
+        Least size of a response body in bytes.
     rate_limit : str
         Rate limit in requests per second that responses state, "" for none.
     leaving_statement : str
@@ -104,6 +111,7 @@
     rate_limit: str = ""
     leaving_statement: str = ""
     pause: str = ""
+    response_bytes: int = 0
     second_answers: SecondAnswers | None = None
     first_answers: list[tuple[str, int]] = field(factory=list)
     arrivals: list[float] = field(factory=list)
@@ -170,6 +178,10 @@
             },
         )
 
+    def count_connections(self) -> int:
+        """Return the number of open connections to this server."""
+        return len(self._runner.server.connections)
+
     def holds(self, key: int) -> bool:
         """Return whether the newest grant of a key is still valid."""
         now = monotonic()
@@ -233,6 +245,8 @@
             status = self.second_answers.draw_status()
         self.arrivals.append(monotonic())
         self.arrived_ids.append(request_id)
+        if self.fault == "early":
+            return web.Response(status=503, headers={**headers, "X-Not-Executed": "1"})
         body = await request.read()
         if self.leaving_statement:
             self.statements.append(Statement(request_id, monotonic(), leaving=True))
@@ -270,8 +284,19 @@
             if not self.running:
                 self._idle.set()
             self._free_slots.release()
+        if self.fault == "endless":
+            return await self._respond_endlessly(request, headers, status)
         return self._respond(request, headers, status)
 
+    async def _respond_endlessly(
+        self, request: web.Request, headers: dict, status: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=status, headers=headers)
+        await response.prepare(request)
+        while True:
+            await response.write(bytes(_ENDLESS_PIECE_BYTES))
+            await asyncio.sleep(_ENDLESS_INTERVAL_S)
+
     def _record_answer(
         self, request: web.Request, request_id: str, status: int
     ) -> None:
@@ -327,5 +352,7 @@
             status = 500
         self._record_answer(request, headers["X-Request-Id"], status)
         if status == 500:
-            return web.Response(status=500, headers=headers)
-        return web.Response(body=self.name.encode() * 10, headers=headers)
+            body = bytes(self.response_bytes)
+            return web.Response(status=500, body=body, headers=headers)
+        body = self.name.encode() * max(10, self.response_bytes // len(self.name))
+        return web.Response(body=body, headers=headers)
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -20,6 +20,7 @@
 from basilwick.core.types import Operation
 from basilwick.logs import log_request_line
 from basilwick.platform.http_messages import encode_request_head, read_request_metadata
+from basilwick.runtime.fleet.answer_owner import AnswerOwner
 from basilwick.runtime.fleet.caller_body_reader import (
     BodyRejectedError,
     CallerBody,
@@ -88,6 +89,8 @@
         Whether an attempt has been sent to a server and has not ended.
     caller_disconnected : bool
         Whether the caller has closed its connection.
+    answers : AnswerOwner
+        Owns the servers' answers.
     sends : list of str
         Server, number of the connection and status or outcome of each attempt.
     """
@@ -99,6 +102,7 @@
     arrived_at: MonotonicSeconds
     deadline: MonotonicSeconds
     target_at: MonotonicSeconds
+    answers: AnswerOwner
     body: CallerBody = field(factory=CallerBody)
     attempts: int = 0
     tried_servers: tuple[str, ...] = ()
@@ -162,7 +166,20 @@
         """Handle a request and send the response."""
         arrived_at = self._clock()
         metadata = read_request_metadata(raw.raw_headers)
-        answer = await self._process(raw, metadata, arrived_at)
+        answers = AnswerOwner()
+        try:
+            answer = await self._process(raw, metadata, arrived_at, answers)
+            return await self._deliver(raw, metadata, arrived_at, answer)
+        finally:
+            answers.close()
+
+    async def _deliver(
+        self,
+        raw: BaseRequest,
+        metadata: RequestMetadata,
+        arrived_at: MonotonicSeconds,
+        answer: Answer,
+    ) -> RawResponse:
         response = RawResponse(raw)
         if not raw.content.is_eof():
             response.keep_alive = False
@@ -182,7 +199,11 @@
         return response
 
     async def _process(
-        self, raw: BaseRequest, metadata: RequestMetadata, arrived_at: MonotonicSeconds
+        self,
+        raw: BaseRequest,
+        metadata: RequestMetadata,
+        arrived_at: MonotonicSeconds,
+        answers: AnswerOwner,
     ) -> Answer:
         configuration = self._view.configuration
         if configuration is None:
@@ -210,6 +231,7 @@
             arrived_at,
             arrived_at + timeout_s,
             arrived_at + route.target_latency_s - elapsed_s,
+            answers,
         )
         answer = await self._run_shielded(context)
         self._record_response(context, answer)
@@ -263,6 +285,8 @@
                 return self._make_failure_response(context, decision.retry_after_s)
             result = await self._send_attempt(context, decision, dispatch_client)
             if isinstance(result, ServerAnswer) and not was_not_run(result):
+                if failed_response is not None:
+                    failed_response.close()
                 if result.status < 500 or not context.idempotent:
                     return _make_response(result)
                 failed_response = result
@@ -274,6 +298,7 @@
                 if context.may_have_run and not context.idempotent:
                     return Answer(_BAD_GATEWAY)
             else:
+                result.close()
                 context.reason = "the server did not run the request"
             if not context.body.replayable:
                 break
@@ -381,9 +406,12 @@
         max_connections = (
             spec.max_connections // _CONNECTION_LIMIT_DIVISOR if spec else 0
         )
-        return await self._client.send(
+        result = await self._client.send(
             decision.address, request, max(0.0, time_left_s), max(2, max_connections)
         )
+        if isinstance(result, ServerAnswer):
+            context.answers.add(result)
+        return result
 
     def _record_response(self, context: _RequestContext, answer: Answer) -> None:
         elapsed_s = self._clock() - context.arrived_at
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -116,6 +116,11 @@
     latency_s: float
     connection: int = 0
 
+    def close(self) -> None:
+        """Close the connection unless the body was read to its end."""
+        if not isinstance(self.body, bytes):
+            self.body.close()
+
 
 @frozen
 class SendFailure:
