Let the kernel close links to instances that vanished

Callers: after instances had vanished without a reset, one request in eight was refused for as long as their leader led.

Cause: the leader frees the slots of an instance's requests when its link ends. A machine that is gone neither answers nor resets, so its link ended only after the kernel's default of many minutes.

Change: both ends of a link have a limit of 3 s on unacknowledged data (TCP_USER_TIMEOUT). The leader's heartbeats make it act.

--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT
 from typing import TYPE_CHECKING, Any
 
 from attrs import NOTHING
@@ -96,6 +97,9 @@
 #: Bytes that may be buffered for a peer that doesn't read before its link is aborted.
 _MAX_UNREAD_BYTES = 1 << 20
 _MAX_LINE_BYTES = 1 << 20
+#: Time in seconds after which the kernel closes a link whose data the peer's machine
+#: doesn't acknowledge. The leader sends heartbeats more often than that.
+_UNACKNOWLEDGED_LIMIT_S = 3.0
 #: Timeout in seconds for opening a connection.
 _CONNECT_TIMEOUT_S = 0.4
 
@@ -165,8 +169,11 @@
         self.peer_hello: Hello | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Store the transport."""
+        """Store the transport, and let the kernel notice a peer that vanished."""
         self._transport = transport
+        sock = transport.get_extra_info("socket")
+        limit_ms = round(_UNACKNOWLEDGED_LIMIT_S * 1000)
+        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms)
 
     def data_received(self, data: bytes) -> None:
         """Decode the complete lines and pass their messages on."""
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT
 
 import pytest
 
@@ -136,3 +137,23 @@
     """A deadline that isn't a number broke all later decisions on waiting requests."""
     with pytest.raises(ValueError, match="no message"):
         decode_message(line)
+
+
+async def test_both_ends_of_a_link_notice_a_peer_that_vanished():
+    """The slots of an instance that vanished without a reset stayed taken."""
+    accepted = []
+
+    def accept():
+        accepted.append(Link(lambda *_: None, lambda _: None))
+        return accepted[-1]
+
+    server = await asyncio.get_running_loop().create_server(accept, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    link = await connect_link(address, lambda *_: None, lambda _: None)
+    while not accepted:
+        await asyncio.sleep(0.01)
+    for end in (link, accepted[0]):
+        sock = end._transport.get_extra_info("socket")
+        assert 0 < sock.getsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT) <= 3000
+        end.close()
+    server.close()
