Reuse no connection on which a body was not sent whole

Servers: read other callers' requests as the rest of an upload, and answered nothing to them.

Cause: an answer to a streamed upload counted as the end of the exchange if the task that sends the body had ended, also when it had ended because the caller's body failed. Both happen together after a pause of the process: the caller's connection and the server's early answer are then read in one step.

Change: the connection is kept only if the whole body was sent.

--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -324,7 +324,7 @@
                     SendOutcome.WITHDRAWN, True, "the caller's body ended early"
                 )
             message, payload = await head
-            if not upload.done():
+            if not _is_complete(upload):
                 # The server would parse the next request as the rest of this body.
                 connection.force_close()
             return message, payload
@@ -400,6 +400,11 @@
     return b"".join(parts), True
 
 
+def _is_complete(upload: asyncio.Task[bool]) -> bool:
+    """Return whether the whole body was sent."""
+    return upload.done() and upload.exception() is None and upload.result()
+
+
 async def _send_body(
     connection: HttpConnection, body: ByteStream, chunked: bool
 ) -> bool:
--- a/tests/transport/test_server_client.py
+++ b/tests/transport/test_server_client.py
@@ -12,6 +12,7 @@
 import pytest_asyncio
 
 from basilwick.core.dispatch.messages import SendOutcome
+from basilwick.core.errors import ErrorKind, make_refusal
 from basilwick.platform.http_messages import read_response_metadata
 from basilwick.transport.connection_pool import ConnectionPool
 from basilwick.transport.server_client import (
@@ -256,3 +257,52 @@
     assert max(Counter(counting.connections).values()) == 256
     assert client._pools[address].open == 1
     server.close()
+
+
+class BrokenUpload:
+    """Body of a caller whose connection fails when the server's answer arrives."""
+
+    length = 1000
+
+    def __init__(self, get_connection, raises):
+        self._get_connection = get_connection
+        self._raises = raises
+        self._pieces = [b"x" * 100]
+
+    async def read_chunk(self):
+        if self._pieces:
+            return self._pieces.pop()
+        connection = self._get_connection()
+        opened_at = connection.received_at
+        while connection.received_at == opened_at:
+            await asyncio.sleep(0)
+        if self._raises:
+            raise RuntimeError("the body is broken")
+        return make_refusal(ErrorKind.BODY_MISMATCH, "the caller left")
+
+
+@pytest.mark.parametrize("raises", [False, True])
+async def test_no_request_follows_a_body_that_was_not_sent_whole(client, raises):
+    """The server read the next request as the rest of the body."""
+    received = []
+
+    async def answer(reader, writer):
+        received.append(b"")
+        index = len(received) - 1
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.02)
+            writer.write(ANSWER + b"Content-Length: 0\r\n\r\n")
+            while data := await reader.read(1000):
+                received[index] += data
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    server, address = await serve(answer)
+    body = BrokenUpload(lambda: next(iter(client._pools[address]._open)), raises)
+    head = HEAD.replace(b"GET", b"POST")[:-2] + b"Content-Length: 1000\r\n\r\n"
+    upload = ServerRequest("POST", head, body, b"q", idempotent=False)
+    await client.send(address, upload, 2.0, 4)
+    await client.send(address, make_request(b"next"), 0.1, 4)
+    assert received[0] in (b"", b"x" * 100)
+    server.close()
