Complete no cut-off body with the next answer on the connection

Callers: got a success with the server's signature and a body whose end was the head of another answer; with a body in chunks, they waited until their deadline.

Cause: a server can break an answer off within its body, keep the connection and answer again. The parser reads the next answer as the rest of the body, and refuses only what follows. This error closed the connection, but nothing told the body's reader, which had its whole length by then, or waited for the next chunk.

Change: if the data that ends a body holds bytes that are no answer, the body has failed.

Evidence: the new test cuts bodies with a length at every byte, in chunks at every byte, and of 400,000 bytes. A cut whose missing length is that of the whole next answer can't be told.

--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -114,7 +114,12 @@
             self.abort_transport()
             self._on_unrequested(self)
             return
+        body = self._payload
+        in_body = body is not None and not body.is_eof()
         super().data_received(data)
+        if in_body and isinstance(self._exception, HttpProcessingError):
+            # The body was cut off, and the start of another answer was read as its end.
+            body.set_exception(ClientPayloadError("the body runs into other data"))
         if len(self._buffer) > _MAX_QUEUED_ANSWERS:
             self.fail(ConnectionError("the server sends answers without a request"))
 
--- a/tests/transport/test_truncated_answers.py
+++ b/tests/transport/test_truncated_answers.py
@@ -109,3 +109,38 @@
     server.close()
     assert whole_at == []
     assert server.opened == len(cuts)
+
+
+LONG = START + b"Content-Length: 400000\r\n\r\n" + b"z" * 400_000
+
+
+@pytest.mark.parametrize(
+    ("answer", "cuts"),
+    [
+        (SIZED, range(SIZED.index(b"whole"), len(SIZED))),
+        (CHUNKED, range(CHUNKED.index(b"c\r\nwhole"), len(CHUNKED))),
+        (LONG, [len(LONG) - 300_000, len(LONG) - 1]),
+    ],
+    ids=["sized", "chunked", "long"],
+)
+async def test_a_cut_body_is_not_completed_with_the_next_answer(answer, cuts):
+    """The start of another answer was passed on as the rest of the body."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer[:cut])
+        await asyncio.sleep(0.01)
+        writer.write(answer)
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    whole_at = []
+    for cut in cuts:
+        client = ServerClient(monotonic, read_response_metadata)
+        async with asyncio.timeout(1.0):
+            body = await read_whole(await client.send(address, REQUEST, 2.0, 4))
+        if body is not None:
+            whole_at.append(cut)
+        await client.close()
+    server.close()
+    assert whole_at == []
