Expect no identity of a request that states two

Callers: a request with two different X-Request-Id fields got 504 after all its time, although a server had run and answered it.

Cause: the last one was expected in the answer, and the server repeats the first. A late answer with the first one could also be taken for the answer to another request with that identity, because the connection did not remember it.

Change: such a request counts as one without an identity, which has a connection of its own. Both fields are still forwarded.

Evidence: the new test got 504 without the change and 200 with it.

--- a/basilwick/platform/http_messages.py
+++ b/basilwick/platform/http_messages.py
@@ -47,7 +47,8 @@
     Attributes
     ----------
     request_id : bytes
-        Identifier of the request; each attempt of the caller has another one.
+        Identifier of the request; each attempt of the caller has another one. Empty
+        if not given or if several differ.
     time_left_s : float or None
         Seconds for which the caller waits for the response, None if not given.
     key : int
@@ -98,11 +99,13 @@
 def read_request_metadata(fields: Iterable[tuple[bytes, bytes]]) -> RequestMetadata:
     """Read the metadata of a caller's request; unreadable fields count as absent."""
     request_id = b""
+    identity_conflict = False
     time_left_s = None
     key = -1
     for name, value in fields:
         field_name = name.lower()
         if field_name == _REQUEST_ID:
+            identity_conflict |= request_id not in (b"", value)
             request_id = value
         elif field_name == _DEADLINE:
             time_left_s = _parse_number(value, None)
@@ -110,6 +113,9 @@
             key = int(value)
     if time_left_s is not None:
         time_left_s *= _MS
+    if identity_conflict:
+        # It isn't known which one the server repeats.
+        request_id = b""
     return RequestMetadata(request_id, time_left_s, key)
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -263,6 +263,8 @@
     assert (metadata.request_id, metadata.time_left_s, metadata.key) == (b"q", 0.8, -1)
     odd = [(b"X-Shard-Key", b"65536"), (b"X-Request-Deadline-Ms", b"soon")]
     assert read_request_metadata(odd).key == -1
+    two_identities = [(b"X-Request-Id", b"one"), (b"X-Request-Id", b"two")]
+    assert read_request_metadata(two_identities).request_id == b""
     assert read_request_metadata(odd).time_left_s is None
 
 
--- a/tests/runtime/fleet/test_second_answers.py
+++ b/tests/runtime/fleet/test_second_answers.py
@@ -8,7 +8,7 @@
 import pytest
 import pytest_asyncio
 from aiohttp import ClientError
-from fleet_site import FleetSite
+from fleet_site import HOST, ORDER, FleetSite
 from multidict import CIMultiDict
 
 from basilwick.fakes.second_answers import SecondAnswers
@@ -101,6 +101,15 @@
     assert wrong == []
 
 
+async def test_a_request_with_two_identities_gets_its_answer(site):
+    """A server that echoes the first one was never believed, and orders got 504."""
+    fields = CIMultiDict({"Host": HOST, "X-Request-Deadline-Ms": "1000"})
+    fields.extend([("X-Request-Id", "one"), ("X-Request-Id", "two")])
+    url = f"http://{site.caller_addresses[0]}{ORDER}x"
+    async with site._session.post(url, data=b"{}", headers=fields) as response:
+        assert response.status == 200
+
+
 async def test_a_second_answer_cut_off_in_its_head_reaches_no_caller(site):
     """The next answer was read as the rest of the head, with the status of both."""
     assert await play(site, Random(2), statuses=(200, 500, 503), cut=True) == []
