Reset the connection of a cut answer that only its connection ends

Callers of HTTP/1.0: took a part of an answer as the whole, if the server had broken it off.

Cause: an answer without a length has no chunks for such callers, and its connection was closed normally.

Change: the connection is reset. Answers with a length or in chunks end as before.

--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -25,10 +25,16 @@
     from basilwick.core.types import MonotonicSeconds
     from basilwick.transport.connection_pool import ConnectionPool
 
-__all__ = ["CONNECTION_ERRORS", "AnswerStream", "HttpConnection", "MergedHeadsError"]
+__all__ = [
+    "CONNECTION_ERRORS",
+    "RESET_ON_CLOSE",
+    "AnswerStream",
+    "HttpConnection",
+    "MergedHeadsError",
+]
 
 #: SO_LINGER enabled with a timeout of 0 s: closing the socket resets the connection.
-_RESET_ON_CLOSE = pack("ii", 1, 0)
+RESET_ON_CLOSE = pack("ii", 1, 0)
 #: Parsed answers that may be queued behind the one that is read. More of them close the
 #: connection, because no request asked for them.
 _MAX_QUEUED_ANSWERS = 8
@@ -95,7 +101,7 @@
         when a network partition heals, long after the sender has given up the request.
         """
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         super().connection_made(transport)
 
     def set_user_timeout(self, limit_s: float) -> None:
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from http import HTTPStatus
+from socket import SO_LINGER, SOL_SOCKET
 from typing import TYPE_CHECKING, Any
 
 from aiohttp.http_exceptions import LineTooLong
@@ -11,6 +12,7 @@
 from loguru import logger
 
 from basilwick.core.errors import ErrorKind, Refusal, make_refusal
+from basilwick.transport.connection import RESET_ON_CLOSE
 from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
 
 if TYPE_CHECKING:
@@ -80,6 +82,8 @@
         self._request = request
         self._extra_fields = extra_fields
         self.keep_alive = keep_alive and request.keep_alive
+        #: Whether the answer has neither a length nor chunks, as for HTTP/1.0.
+        self._ends_with_connection = False
         self.started = False
         self.status = 0
         self.body_length = 0
@@ -93,8 +97,14 @@
     def abort(self) -> None:
         """Abort the connection, so that the caller sees an incomplete answer."""
         self.keep_alive = False
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._ends_with_connection:
+            # After a normal close the part that was sent would look whole.
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
 
     async def send(self, answer: Answer) -> None:
         """Write a whole answer, and wait while the write buffer is full.
@@ -113,7 +123,8 @@
         else:
             length = body.length
             chunked = length is None and request.version >= (1, 1)
-            self.keep_alive &= chunked or length is not None
+            self._ends_with_connection = not chunked and length is None
+            self.keep_alive &= not self._ends_with_connection
         lines = [
             _STATUS_LINES.get(answer.status) or b"HTTP/1.1 %d \r\n" % answer.status,
             encode_headers(answer.fields),
