Close the answers of servers that reach no caller

Callers: orders were refused with 503 for the life of the process, and servers went on sending answers that nobody read.

Cause: an answer above 64 KiB holds its connection until it is read or closed. Nothing closed the answer of an attempt that a later one replaced, a rejection, or the answer to an order whose caller had left. Each took one of the connections to its server.

Change: when a request ends, all its answers but the one that is passed on are closed, also if the caller leaves, or its connection is lost before the head is written.

--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -26,6 +26,7 @@
     CallerBodyReader,
 )
 from basilwick.runtime.fleet.response_recorder import ResponseRecorder, was_not_run
+from basilwick.transport.connection import AnswerStream
 from basilwick.transport.exchange import Answer
 from basilwick.transport.http_server import RawResponse
 from basilwick.transport.server_client import SendFailure, ServerAnswer, ServerRequest
@@ -90,6 +91,8 @@
         Whether the caller has closed its connection.
     sends : list of str
         Server, number of the connection and status or outcome of each attempt.
+    streams : list of AnswerStream
+        Bodies of servers' answers that were not read whole with their head.
     """
 
     raw: BaseRequest
@@ -106,12 +109,19 @@
     in_flight: bool = False
     caller_disconnected: bool = False
     sends: list[str] = field(factory=list)
+    streams: list[AnswerStream] = field(factory=list)
     reason: str = ""
 
     @property
     def idempotent(self) -> bool:
         return self.route.operation is Operation.IDEMPOTENT
 
+    def close_streams(self, answer: Answer | None = None) -> None:
+        """Close all streams but that of an answer, which frees their connections."""
+        for stream in self.streams:
+            if answer is None or stream is not answer.body:
+                stream.close()
+
 
 class CallerRequestHandler:
     """Handles callers' requests.
@@ -228,15 +238,19 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             context.caller_disconnected = True
+            context.close_streams()
             if context.idempotent or not context.in_flight:
                 task.cancel()
             raise
 
     async def _route_and_release_body(self, context: _RequestContext) -> Answer:
+        answer = None
         try:
-            return await self._send_with_retries(context)
+            answer = await self._send_with_retries(context)
+            return answer
         finally:
             self._body_reader.release(context.body)
+            context.close_streams(None if context.caller_disconnected else answer)
 
     async def _send_with_retries(self, context: _RequestContext) -> Answer:
         try:
@@ -344,6 +358,10 @@
         try:
             result = await self._send_to_server(context, decision)
             context.sends.append(_describe_send(decision.server, result))
+            if isinstance(result, ServerAnswer) and isinstance(
+                result.body, AnswerStream
+            ):
+                context.streams.append(result.body)
             return result
         finally:
             context.in_flight = False
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -140,8 +140,7 @@
         self.started = True
         self.status = answer.status
         if not isinstance(body, bytes):
-            self._write(b"".join(lines))
-            await self._send_stream(body, chunked)
+            await self._send_stream(b"".join(lines), body, chunked)
             return
         if request.method != "HEAD":
             lines.append(body)
@@ -155,10 +154,11 @@
             raise ConnectionResetError("the caller closed the connection")
         transport.write(data)
 
-    async def _send_stream(self, body: Any, chunked: bool) -> None:
+    async def _send_stream(self, head: bytes, body: Any, chunked: bool) -> None:
         writer = self._request.writer
         ended = False
         try:
+            self._write(head)
             while True:
                 chunk = await body.read_chunk()
                 if isinstance(chunk, Refusal):
