Accept a whole body with other data behind it

Callers: lost a whole answer if the last part of its body came together with bytes that are no answer, which a server in trouble may send behind it.

Cause: failed each such body, because its end can be the start of another answer.

Change: a body that has its length fails only if data within it begins like an answer, or the data that ends it holds the start of one.

Evidence: the new test failed on and passes, as do the tests of bodies that were cut off.

--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -41,6 +41,7 @@
 #: Start of an answer. Inside a field or a reason phrase, it shows that a head was cut
 #: off and the next one followed.
 _STATUS_LINE_START = re.compile(r"HTTP/\d\.\d \d{3}")
+_ANSWER_START = b"HTTP/1."
 #: An answer that the parser reads as such only if it has read the earlier ones to their
 #: end.
 _PROBE_ANSWER = b"HTTP/1.1 204 probe\r\n\r\n"
@@ -91,6 +92,8 @@
         self.idle_since: MonotonicSeconds = 0.0
         self._no_body: bool | None = None
         self._identities: set[bytes] = set()
+        #: Whether data within the body began like an answer.
+        self._head_in_body = False
         #: Whether a request was sent whose answer has not been read to its end.
         self._awaiting_answer = False
 
@@ -121,14 +124,26 @@
             self._on_unrequested(self)
             return
         body = self._payload
-        in_body = body is not None and not body.is_eof()
-        super().data_received(data)
-        if in_body and isinstance(self._exception, HttpProcessingError):
-            # The body was cut off, and the start of another answer was read as its end.
-            body.set_exception(ClientPayloadError("the body runs into other data"))
+        if body is None or body.is_eof():
+            super().data_received(data)
+        else:
+            self._receive_body(body, data)
         if len(self._buffer) > _MAX_QUEUED_ANSWERS:
             self.fail(ConnectionError("the server sends answers without a request"))
 
+    def _receive_body(self, body: StreamReader, data: bytes) -> None:
+        """Parse data within a body, and fail one that holds the head of an answer.
+
+        After a body that was cut off, the next answer is read as its rest. Only what
+        follows is refused then. A server may also send other data behind a whole body.
+        """
+        self._head_in_body |= data.startswith(_ANSWER_START)
+        super().data_received(data)
+        if isinstance(self._exception, HttpProcessingError) and (
+            not body.is_eof() or self._head_in_body or _ANSWER_START in data
+        ):
+            body.set_exception(ClientPayloadError("the body runs into another answer"))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer whose body was not complete when the connection was reset.
 
@@ -181,6 +196,7 @@
             Identity of the request, which its answer repeats.
         """
         self._awaiting_answer = True
+        self._head_in_body = False
         self.requests += 1
         if identity:
             self._identities.add(identity)
--- a/tests/transport/test_truncated_answers.py
+++ b/tests/transport/test_truncated_answers.py
@@ -144,3 +144,20 @@
         await client.close()
     server.close()
     assert whole_at == []
+
+
+async def test_data_behind_a_whole_body_does_not_fail_it():
+    """A server in trouble sends other bytes after a whole answer."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(SIZED[:-5])
+        await asyncio.sleep(0.01)
+        writer.write(SIZED[-5:] + b"\x00 no answer")
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    client = ServerClient(monotonic, read_response_metadata)
+    assert await read_whole(await client.send(address, REQUEST, 2.0, 4))
+    await client.close()
+    server.close()
