--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -25,16 +25,23 @@
     from basilwick.core.types import MonotonicSeconds
     from basilwick.transport.connection_pool import ConnectionPool
 
-__all__ = ["CONNECTION_ERRORS", "AnswerStream", "HttpConnection", "MergedHeadsError"]
+__all__ = [
+    "CONNECTION_ERRORS",
+    "RESET_ON_CLOSE",
+    "AnswerStream",
+    "HttpConnection",
+    "MergedHeadsError",
+]
 
 #: SO_LINGER enabled with a timeout of 0 s: closing the socket resets the connection.
-_RESET_ON_CLOSE = pack("ii", 1, 0)
+RESET_ON_CLOSE = pack("ii", 1, 0)
 #: Parsed answers that may be queued behind the one that is read. More of them close the
 #: connection, because no request asked for them.
 _MAX_QUEUED_ANSWERS = 8
 #: Start of an answer. Inside a field or a reason phrase, it shows that a head was cut
 #: off and the next one followed.
 _STATUS_LINE_START = re.compile(r"HTTP/\d\.\d \d{3}")
+_ANSWER_START = b"HTTP/1."
 #: An answer that the parser reads as such only if it has read the earlier ones to their
 #: end.
 _PROBE_ANSWER = b"HTTP/1.1 204 probe\r\n\r\n"
@@ -85,6 +92,8 @@
         self.idle_since: MonotonicSeconds = 0.0
         self._no_body: bool | None = None
         self._identities: set[bytes] = set()
+        #: Whether data within the body held the start of an answer.
+        self._head_in_body = False
         #: Whether a request was sent whose answer has not been read to its end.
         self._awaiting_answer = False
 
@@ -95,7 +104,7 @@
         when a network partition heals, long after the sender has given up the request.
         """
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         super().connection_made(transport)
 
     def set_user_timeout(self, limit_s: float) -> None:
@@ -114,10 +123,27 @@
             self.abort_transport()
             self._on_unrequested(self)
             return
-        super().data_received(data)
+        body = self._payload
+        if body is None or body.is_eof():
+            super().data_received(data)
+        else:
+            self._receive_body(body, data)
         if len(self._buffer) > _MAX_QUEUED_ANSWERS:
             self.fail(ConnectionError("the server sends answers without a request"))
 
+    def _receive_body(self, body: StreamReader, data: bytes) -> None:
+        """Parse data within a body, and fail one that holds the head of an answer.
+
+        After a body that was cut off, the next answer is read as its rest. Only what
+        follows is refused then. A server may also send other data behind a whole body.
+        """
+        self._head_in_body |= _ANSWER_START in data
+        super().data_received(data)
+        if isinstance(self._exception, HttpProcessingError) and (
+            self._head_in_body or not body.is_eof()
+        ):
+            body.set_exception(ClientPayloadError("the body runs into another answer"))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer whose body was not complete when the connection was reset.
 
@@ -170,6 +196,7 @@
             Identity of the request, which its answer repeats.
         """
         self._awaiting_answer = True
+        self._head_in_body = False
         self.requests += 1
         if identity:
             self._identities.add(identity)
