Promise "not run" only on an instance's own word or a server's statement

Callers: an order that ran and failed with 503 at its server was answered 503, which promises that it has not run and never will. The caller came back and the order ran a second time.

Cause: an answer that doesn't state "not run" was passed on as it is, whatever its status. A server's bare 408, 429 or 503 so became the instance's promise.

Change: for a request that isn't idempotent, such an answer becomes 502 without the server's fields, as its signature belongs to its own status. The instance's own refusals, and those that a server states (X-Not-Executed, or 421), still promise. An idempotent request gets the server's answer unchanged: it may be repeated after any failure, and a signed failure keeps its status.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -64,9 +64,13 @@
     fault : str
         Injected fault, "" for none. "lose" runs requests and resets their connections,
         "shed" rejects them, "stray" sends a response with another request id before
-        the right one, "fail" responds with status 500, "break" resets the connection
-        in the middle of a response body, and "repeat" rejects the first request of each
-        connection and sends this rejection again before the response to the next one.
+        the right one, "fail" responds with the failure status, "break" resets the
+        connection in the middle of a response body, and "repeat" rejects the first
+        request of each connection and sends this rejection again before the response to
+        the next one.
+    failure_status : int
+        Status of requests that ran and failed; the response doesn't state that they
+        did not run.
     rate_limit : str
         Rate limit in requests per second that responses state, "" for none.
     leaving_statement : str
@@ -101,6 +105,7 @@
     queue: int = 16
     service_time_s: float = 0.02
     fault: str = ""
+    failure_status: int = 500
     rate_limit: str = ""
     leaving_statement: str = ""
     pause: str = ""
@@ -324,8 +329,8 @@
         load = f"{self.running},{self.waiting},{self.slots},100"
         headers = {**headers, "X-Server-Load": load, "X-Response-Signature": self.name}
         if self.fault == "fail":
-            status = 500
+            status = self.failure_status
         self._record_answer(request, headers["X-Request-Id"], status)
-        if status == 500:
-            return web.Response(status=500, headers=headers)
+        if status != 200:
+            return web.Response(status=status, headers=headers)
         return web.Response(body=self.name.encode() * 10, headers=headers)
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -68,6 +68,9 @@
 _GATEWAY_TIMEOUT = 504
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
+#: Statuses that promise a caller that its request has not run and never will. A caller
+#: then repeats also a request that is not idempotent.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 #: An instance opens at most this fraction (1/n) of a server's connection limit, but may
 #: always open two connections.
 _CONNECTION_LIMIT_DIVISOR = 4
@@ -263,6 +266,8 @@
                 return self._make_failure_response(context, decision.retry_after_s)
             result = await self._send_attempt(context, decision, dispatch_client)
             if isinstance(result, ServerAnswer) and not was_not_run(result):
+                if not context.idempotent and result.status in _NOT_RUN_STATUSES:
+                    return _replace_unproven_refusal(context, result)
                 if result.status < 500 or not context.idempotent:
                     return _make_response(result)
                 failed_response = result
@@ -456,5 +461,16 @@
     return len(body) if isinstance(body, bytes) else body.length or 0
 
 
+def _replace_unproven_refusal(context: _RequestContext, answer: ServerAnswer) -> Answer:
+    """Return a failure that promises nothing, in place of a status that would.
+
+    The server's header fields are left out: its signature belongs to its own status.
+    """
+    if not isinstance(answer.body, bytes):
+        answer.body.close()
+    context.reason = f"a server answered {answer.status} and may have run the request"
+    return Answer(_BAD_GATEWAY)
+
+
 def _make_response(answer: ServerAnswer) -> Answer:
     return Answer(answer.status, answer.fields, answer.body, answer.length)
