Reset the connection of a cut answer that has no length

Callers that take no chunks (HTTP/1.0): an answer of unknown length that its server broke off, or that was cut for its time, ended with a normal close and so looked complete.

Cause: RawResponse.abort closed the connection. Only an answer with a length or with chunks shows its caller that something is missing.

Change: abort resets the connection of an answer that ends with it.

Evidence: test_a_cut_answer_to_a_caller_without_chunks_ends_with_a_reset fails without the change ("did not raise ConnectionResetError") and passes with it.

--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from http import HTTPStatus
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from typing import TYPE_CHECKING, Any
 
 from aiohttp.http_exceptions import LineTooLong
@@ -41,6 +43,8 @@
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in HTTPStatus
 }
+#: SO_LINGER enabled with a timeout of 0 s: closing the socket resets the connection.
+_RESET_ON_CLOSE = pack("ii", 1, 0)
 _JSON_FIELD = (b"Content-Type", b"application/json")
 
 
@@ -83,6 +87,8 @@
         self.started = False
         self.status = 0
         self.body_length = 0
+        #: Whether the answer ends with its connection.
+        self._ends_with_connection = False
 
     async def prepare(self, request: BaseRequest) -> None:
         """Do nothing; `send` has written the answer."""
@@ -91,10 +97,19 @@
         """Do nothing; `send` has written the answer."""
 
     def abort(self) -> None:
-        """Abort the connection, so that the caller sees an incomplete answer."""
+        """Abort the connection, so that the caller sees an incomplete answer.
+
+        An answer that ends with its connection would look complete after a normal
+        close, so its connection is reset.
+        """
         self.keep_alive = False
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._ends_with_connection:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
+        transport.abort()
 
     async def send(self, answer: Answer) -> None:
         """Write a whole answer, and wait while the write buffer is full.
@@ -113,7 +128,8 @@
         else:
             length = body.length
             chunked = length is None and request.version >= (1, 1)
-            self.keep_alive &= chunked or length is not None
+            self._ends_with_connection = length is None and not chunked
+            self.keep_alive &= not self._ends_with_connection
         lines = [
             _STATUS_LINES.get(answer.status) or b"HTTP/1.1 %d \r\n" % answer.status,
             encode_headers(answer.fields),
--- a/tests/transport/test_truncated_answers.py
+++ b/tests/transport/test_truncated_answers.py
@@ -9,8 +9,10 @@
 
 import pytest
 
-from basilwick.core.errors import Refusal
+from basilwick.core.errors import ErrorKind, Refusal, make_refusal
 from basilwick.platform.http_messages import read_response_metadata
+from basilwick.transport.exchange import Answer
+from basilwick.transport.http_server import HttpServer, RawResponse
 from basilwick.transport.server_client import SendFailure, ServerClient, ServerRequest
 
 HEAD = b"GET / HTTP/1.1\r\nHost: h\r\nX-Request-Id: q\r\n\r\n"
@@ -109,3 +111,40 @@
     server.close()
     assert whole_at == []
     assert server.opened == len(cuts)
+
+
+class FailingBody:
+    """Body of unknown length that fails after its first piece."""
+
+    length = None
+
+    def __init__(self):
+        self._pieces = [b"half", make_refusal(ErrorKind.CONNECTION_LOST, "gone")]
+
+    async def read_chunk(self):
+        await asyncio.sleep(0.02)
+        return self._pieces.pop(0)
+
+    def close(self):
+        """Do nothing."""
+
+
+async def test_a_cut_answer_to_a_caller_without_chunks_ends_with_a_reset():
+    """It ended with a normal close, like a complete answer without length."""
+
+    async def handle(raw):
+        response = RawResponse(raw)
+        await response.send(Answer(200, [], FailingBody()))
+        return response
+
+    server = HttpServer("127.0.0.1:0", handle)
+    await server.start()
+    host, port = server.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+    try:
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 2.0)
+    finally:
+        writer.close()
+        await server.close()
