Keep the time limit of a request in force until an answer's last byte

Callers: an answer above 64 KiB or without a length was delivered until 5 s after the caller's own time. A server that sent without end, or slowly, held its callers and its connection that long, whatever the route's timeout.

Cause: once an answer was streamed, only the delivery grace bounded it. The grace is meant for answers that are ready and for callers that read slowly.

Change: a streamed body carries the request's deadline, which is the route's timeout or the caller's time, whichever ends first. BodySender waits for the server up to it. Then the answer is cut without its last chunk or byte, and the connections to server and caller are closed, also while the caller reads nothing. The grace no longer begins with the request if the caller states no time. A cut answer is logged with its reason.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from basilwick.fakes.kv_service import KvService
     from basilwick.fakes.second_answers import SecondAnswers
+    from basilwick.fakes.streamed_bodies import StreamedBody
 
 __all__ = ["KeyServer", "Run", "Statement"]
 
@@ -80,6 +81,8 @@
         Value of ``Retry-After`` with which requests are rejected, "" to run them.
     second_answers : SecondAnswers or None
         Decides the statuses of responses and answers some requests twice.
+    streamed_body : StreamedBody or None
+        Body that responses with status 200 have in place of the usual one.
     first_answers : list of pairs
         Identifier and status of each response, without second ones.
     arrivals : list of float
@@ -110,6 +113,7 @@
     leaving_statement: str = ""
     pause: str = ""
     second_answers: SecondAnswers | None = None
+    streamed_body: StreamedBody | None = None
     first_answers: list[tuple[str, int]] = field(factory=list)
     arrivals: list[float] = field(factory=list)
     arrived_ids: list[str] = field(factory=list)
@@ -220,7 +224,7 @@
         status = 503 if self.leaving else 200
         return web.Response(status=status, headers={"X-Instance-Id": self.name})
 
-    async def _serve(self, request: web.Request) -> web.Response:
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get("X-Request-Id", "")
         headers = {"X-Request-Id": request_id}
         if self.rate_limit:
@@ -275,7 +279,7 @@
             if not self.running:
                 self._idle.set()
             self._free_slots.release()
-        return self._respond(request, headers, status)
+        return await self._respond(request, headers, status)
 
     def _record_answer(
         self, request: web.Request, request_id: str, status: int
@@ -314,9 +318,9 @@
         asyncio.get_running_loop().call_later(0.1, request.transport.abort)
         return web.Response()
 
-    def _respond(
+    async def _respond(
         self, request: web.Request, headers: dict, status: int
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         if self.fault == "lose":
             request.transport.abort()
         if self.fault == "stray":
@@ -333,4 +337,6 @@
         self._record_answer(request, headers["X-Request-Id"], status)
         if status != 200:
             return web.Response(status=status, headers=headers)
+        if self.streamed_body is not None:
+            return await self.streamed_body.send(request, status, headers)
         return web.Response(body=self.name.encode() * 10, headers=headers)
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -48,8 +48,8 @@
 
 __all__ = ["CallerRequestHandler"]
 
-#: Time in seconds after the caller's deadline at which delivery of a response is
-#: abandoned.
+#: Time in seconds after the caller's deadline at which delivery of a response that was
+#: ready in time is abandoned.
 _DELIVERY_GRACE_S = 5.0
 #: Part of the caller's timeout in seconds reserved for returning the response.
 _RESPONSE_MARGIN_S = 0.01
@@ -169,20 +169,34 @@
         response = RawResponse(raw)
         if not raw.content.is_eof():
             response.keep_alive = False
-        delivery_deadline = (
-            arrived_at + (metadata.time_left_s or 0.0) + _DELIVERY_GRACE_S
-        )
+        await self._deliver(response, answer, arrived_at, metadata)
+        return response
+
+    async def _deliver(
+        self,
+        response: RawResponse,
+        answer: Answer,
+        arrived_at: MonotonicSeconds,
+        metadata: RequestMetadata,
+    ) -> None:
+        """Send an answer; the connection is closed unless it can be sent whole."""
+        now = self._clock()
+        time_left_s = None
+        deadline = max(now, arrived_at + (metadata.time_left_s or 0.0))
+        if answer.deadline is not None:
+            time_left_s = max(0.0, answer.deadline - now)
+            deadline = max(deadline, answer.deadline)
+        log = logger.bind(request=metadata.request_id.decode("latin-1"))
         try:
-            async with asyncio.timeout(max(0.0, delivery_deadline - self._clock())):
-                await response.send(answer)
+            async with asyncio.timeout(deadline + _DELIVERY_GRACE_S - now):
+                await response.send(answer, time_left_s)
         except TimeoutError:
-            # Bounds the connection's lifetime when the caller stops reading or the
-            # server's response never ends.
-            logger.bind(request=metadata.request_id.decode("latin-1")).warning(
-                "response was not delivered in time; closing the connection"
-            )
+            log.warning("the caller did not read its answer; closing the connection")
             response.abort()
-        return response
+        if response.failure:
+            log.bind(reason=response.failure).warning(
+                "an answer was cut off; closing the caller's connection"
+            )
 
     async def _process(
         self, raw: BaseRequest, metadata: RequestMetadata, arrived_at: MonotonicSeconds
@@ -269,7 +283,7 @@
                 if not context.idempotent and result.status in _NOT_RUN_STATUSES:
                     return _replace_unproven_refusal(context, result)
                 if result.status < 500 or not context.idempotent:
-                    return _make_response(result)
+                    return _make_response(context, result)
                 failed_response = result
             elif isinstance(result, SendFailure):
                 context.reason = result.detail
@@ -283,7 +297,7 @@
             if not context.body.replayable:
                 break
         if failed_response is not None:
-            return _make_response(failed_response)
+            return _make_response(context, failed_response)
         return self._make_failure_response(context, 0.1)
 
     def _make_failure_response(
@@ -472,5 +486,7 @@
     return Answer(_BAD_GATEWAY)
 
 
-def _make_response(answer: ServerAnswer) -> Answer:
-    return Answer(answer.status, answer.fields, answer.body, answer.length)
+def _make_response(context: _RequestContext, answer: ServerAnswer) -> Answer:
+    return Answer(
+        answer.status, answer.fields, answer.body, answer.length, context.deadline
+    )
--- a/basilwick/transport/exchange.py
+++ b/basilwick/transport/exchange.py
@@ -158,12 +158,16 @@
         Buffered body, or a stream that can be read once.
     length : int or None
         Value of Content-Length; an answer to HEAD has one without a body.
+    deadline : float or None
+        Local monotonic time in seconds by which the end of a streamed body must have
+        arrived, None without a limit.
     """
 
     status: int
     fields: list[tuple[bytes, bytes]] = field(factory=list)
     body: bytes | ByteStream = b""
     length: int | None = None
+    deadline: MonotonicSeconds | None = None
 
 
 def is_hop_by_hop_field(name: bytes) -> bool:
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from basilwick.core.errors import ErrorKind, Refusal, make_refusal
+from basilwick.transport.body_sender import BodySender
 from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
 
     from aiohttp.web import BaseRequest
 
+    from basilwick.transport.exchange import ByteStream
+
 __all__ = ["HttpServer", "RawResponse", "answer_refusal"]
 
 #: Default limit in bytes of the request line and of each header field.
@@ -76,6 +79,13 @@
         Whether the connection may carry another request.
     extra_fields : bytes, optional
         Encoded header fields that this hop adds.
+
+    Attributes
+    ----------
+    started : bool
+        Whether a part of the answer was written.
+    failure : str
+        Why a streamed body was not sent to its end, "" otherwise.
     """
 
     def __init__(
@@ -87,6 +97,7 @@
         self.started = False
         self.status = 0
         self.body_length = 0
+        self.failure = ""
         #: Whether the answer ends with its connection.
         self._ends_with_connection = False
 
@@ -111,10 +122,16 @@
             sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET_ON_CLOSE)
         transport.abort()
 
-    async def send(self, answer: Answer) -> None:
+    async def send(self, answer: Answer, time_left_s: float | None = None) -> None:
         """Write a whole answer, and wait while the write buffer is full.
 
         The connection is aborted if the body of the answer fails before its end.
+
+        Parameters
+        ----------
+        time_left_s : float, optional
+            Seconds after which the server must have sent the end of a streamed body;
+            unlimited by default.
         """
         request = self._request
         if request.protocol.draining:
@@ -146,7 +163,7 @@
         self.status = answer.status
         if not isinstance(body, bytes):
             self._write(b"".join(lines))
-            await self._send_stream(body, chunked)
+            await self._send_stream(body, chunked, time_left_s)
             return
         if request.method != "HEAD":
             lines.append(body)
@@ -160,25 +177,14 @@
             raise ConnectionResetError("the caller closed the connection")
         transport.write(data)
 
-    async def _send_stream(self, body: Any, chunked: bool) -> None:
-        writer = self._request.writer
+    async def _send_stream(
+        self, body: ByteStream, chunked: bool, time_left_s: float | None
+    ) -> None:
+        sender = BodySender(self._request, body, chunked, time_left_s)
         ended = False
         try:
-            while True:
-                chunk = await body.read_chunk()
-                if isinstance(chunk, Refusal):
-                    break
-                if not chunk:
-                    ended = True
-                    break
-                if chunked:
-                    self._write(b"%x\r\n" % len(chunk))
-                self._write(chunk)
-                if chunked:
-                    self._write(b"\r\n")
-                await writer.drain()
-            if ended and chunked:
-                self._write(b"0\r\n\r\n")
+            ended = await sender.send()
+            self.failure = sender.failure
         finally:
             body.close()
             if not ended:
