Merge the promise of refusals and the time limit of streamed answers

Conflicts: both sides reset cut answers that end with their connection, and both gave the fake server bodies without end; one of each stays. The test that replaces the server's response now does so with a coroutine function, as _respond is one.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -14,14 +14,12 @@
 if TYPE_CHECKING:
     from basilwick.fakes.kv_service import KvService
     from basilwick.fakes.second_answers import SecondAnswers
+    from basilwick.fakes.streamed_bodies import StreamedBody
 
 __all__ = ["KeyServer", "Run", "Statement"]
 
 #: Time in seconds after which the first answer to a request has been written.
 _FIRST_ANSWER_S = 0.001
-#: Pieces of a response body without end, and the pause in seconds between them.
-_ENDLESS_PIECE_BYTES = 16_384
-_ENDLESS_INTERVAL_S = 0.005
 
 
 @frozen
@@ -67,11 +65,14 @@
     fault : str
         Injected fault, "" for none. "lose" runs requests and resets their connections,
         "shed" rejects them, "stray" sends a response with another request id before
-        the right one, "fail" responds with status 500, "break" resets the connection
-        in the middle of a response body, and "repeat" rejects the first request of each
-        connection and sends this rejection again before the response to the next one,
-        "endless" sends response bodies without end, and "early" responds before it has
-        read the request's body, and goes on reading it.
+        the right one, "fail" responds with the failure status, "break" resets the
+        connection in the middle of a response body, "repeat" rejects the first request
+        of each connection and sends this rejection again before the response to the
+        next one, and "early" rejects a request before it has read its body, and goes
+        on reading it.
+    failure_status : int
+        Status of requests that ran and failed; the response doesn't state that they
+        did not run.
     response_bytes : int
         Least size of a response body in bytes.
     rate_limit : str
@@ -83,6 +84,8 @@
         Value of ``Retry-After`` with which requests are rejected, "" to run them.
     second_answers : SecondAnswers or None
         Decides the statuses of responses and answers some requests twice.
+    streamed_body : StreamedBody or None
+        Body that responses of requests that ran have in place of the usual one.
     first_answers : list of pairs
         Identifier and status of each response, without second ones.
     arrivals : list of float
@@ -108,11 +111,13 @@
     queue: int = 16
     service_time_s: float = 0.02
     fault: str = ""
+    failure_status: int = 500
     rate_limit: str = ""
     leaving_statement: str = ""
     pause: str = ""
     response_bytes: int = 0
     second_answers: SecondAnswers | None = None
+    streamed_body: StreamedBody | None = None
     first_answers: list[tuple[str, int]] = field(factory=list)
     arrivals: list[float] = field(factory=list)
     arrived_ids: list[str] = field(factory=list)
@@ -227,7 +232,7 @@
         status = 503 if self.leaving else 200
         return web.Response(status=status, headers={"X-Instance-Id": self.name})
 
-    async def _serve(self, request: web.Request) -> web.Response:
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers.get("X-Request-Id", "")
         headers = {"X-Request-Id": request_id}
         if self.rate_limit:
@@ -284,18 +289,7 @@
             if not self.running:
                 self._idle.set()
             self._free_slots.release()
-        if self.fault == "endless":
-            return await self._respond_endlessly(request, headers, status)
-        return self._respond(request, headers, status)
-
-    async def _respond_endlessly(
-        self, request: web.Request, headers: dict, status: int
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(status=status, headers=headers)
-        await response.prepare(request)
-        while True:
-            await response.write(bytes(_ENDLESS_PIECE_BYTES))
-            await asyncio.sleep(_ENDLESS_INTERVAL_S)
+        return await self._respond(request, headers, status)
 
     def _record_answer(
         self, request: web.Request, request_id: str, status: int
@@ -334,9 +328,9 @@
         asyncio.get_running_loop().call_later(0.1, request.transport.abort)
         return web.Response()
 
-    def _respond(
+    async def _respond(
         self, request: web.Request, headers: dict, status: int
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         if self.fault == "lose":
             request.transport.abort()
         if self.fault == "stray":
@@ -349,10 +343,12 @@
         load = f"{self.running},{self.waiting},{self.slots},100"
         headers = {**headers, "X-Server-Load": load, "X-Response-Signature": self.name}
         if self.fault == "fail":
-            status = 500
+            status = self.failure_status
         self._record_answer(request, headers["X-Request-Id"], status)
-        if status == 500:
+        if self.streamed_body is not None:
+            return await self.streamed_body.send(request, status, headers)
+        if status != 200:
             body = bytes(self.response_bytes)
-            return web.Response(status=500, body=body, headers=headers)
+            return web.Response(status=status, body=body, headers=headers)
         body = self.name.encode() * max(10, self.response_bytes // len(self.name))
         return web.Response(body=body, headers=headers)
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from basilwick.core.errors import ErrorKind, Refusal, make_refusal
+from basilwick.transport.body_sender import BodySender
 from basilwick.transport.connection import RESET_ON_CLOSE
 from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
 
@@ -21,6 +22,8 @@
 
     from aiohttp.web import BaseRequest
 
+    from basilwick.transport.exchange import ByteStream
+
 __all__ = ["HttpServer", "RawResponse", "answer_refusal"]
 
 #: Default limit in bytes of the request line and of each header field.
@@ -74,6 +77,13 @@
         Whether the connection may carry another request.
     extra_fields : bytes, optional
         Encoded header fields that this hop adds.
+
+    Attributes
+    ----------
+    started : bool
+        Whether a part of the answer was written.
+    failure : str
+        Why a streamed body was not sent to its end, "" otherwise.
     """
 
     def __init__(
@@ -87,6 +97,9 @@
         self.started = False
         self.status = 0
         self.body_length = 0
+        self.failure = ""
+        #: Whether the answer ends with its connection.
+        self._ends_with_connection = False
 
     async def prepare(self, request: BaseRequest) -> None:
         """Do nothing; `send` has written the answer."""
@@ -95,21 +108,30 @@
         """Do nothing; `send` has written the answer."""
 
     def abort(self) -> None:
-        """Abort the connection, so that the caller sees an incomplete answer."""
+        """Abort the connection, so that the caller sees an incomplete answer.
+
+        An answer that ends with its connection would look complete after a normal
+        close, so its connection is reset.
+        """
         self.keep_alive = False
         transport = self._request.transport
         if transport is None:
             return
         if self._ends_with_connection:
-            # After a normal close the part that was sent would look whole.
             sock = transport.get_extra_info("socket")
             sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         transport.abort()
 
-    async def send(self, answer: Answer) -> None:
+    async def send(self, answer: Answer, time_left_s: float | None = None) -> None:
         """Write a whole answer, and wait while the write buffer is full.
 
         The connection is aborted if the body of the answer fails before its end.
+
+        Parameters
+        ----------
+        time_left_s : float, optional
+            Seconds after which the server must have sent the end of a streamed body;
+            unlimited by default.
         """
         request = self._request
         if request.protocol.draining:
@@ -140,7 +162,8 @@
         self.started = True
         self.status = answer.status
         if not isinstance(body, bytes):
-            await self._send_stream(b"".join(lines), body, chunked)
+            head = b"".join(lines)
+            await self._send_stream(head, body, chunked, time_left_s)
             return
         if request.method != "HEAD":
             lines.append(body)
@@ -154,26 +177,15 @@
             raise ConnectionResetError("the caller closed the connection")
         transport.write(data)
 
-    async def _send_stream(self, head: bytes, body: Any, chunked: bool) -> None:
-        writer = self._request.writer
+    async def _send_stream(
+        self, head: bytes, body: ByteStream, chunked: bool, time_left_s: float | None
+    ) -> None:
         ended = False
         try:
             self._write(head)
-            while True:
-                chunk = await body.read_chunk()
-                if isinstance(chunk, Refusal):
-                    break
-                if not chunk:
-                    ended = True
-                    break
-                if chunked:
-                    self._write(b"%x\r\n" % len(chunk))
-                self._write(chunk)
-                if chunked:
-                    self._write(b"\r\n")
-                await writer.drain()
-            if ended and chunked:
-                self._write(b"0\r\n\r\n")
+            sender = BodySender(self._request, body, chunked, time_left_s)
+            ended = await sender.send()
+            self.failure = sender.failure
         finally:
             body.close()
             if not ended:
--- a/tests/runtime/fleet/test_connection_ownership.py
+++ b/tests/runtime/fleet/test_connection_ownership.py
@@ -11,8 +11,11 @@
 from fleet_site import FleetSite, wait_until
 
 from basilwick.fakes.second_answers import SecondAnswers
+from basilwick.fakes.streamed_bodies import StreamedBody
 
 LONG_BYTES = 300_000
+#: Pause in seconds between the pieces of a body without end.
+PIECE_INTERVAL_S = 0.005
 #: Bodies of requests: buffered, and streamed.
 UPLOAD_BYTES = (10, 40_000, 3 << 20)
 #: Time in seconds after the last request within which only idle connections are open.
@@ -74,12 +77,18 @@
     for server in site.servers:
         server.response_bytes = LONG_BYTES
         server.second_answers = SecondAnswers(rng, share=0.0, statuses=(200, 500))
-    site.servers[0].fault = site.servers[-1].fault = fault
+    disturbed = (site.servers[0], site.servers[-1])
+    for server in disturbed:
+        if fault == "endless":
+            server.streamed_body = StreamedBody(interval_s=PIECE_INTERVAL_S)
+        else:
+            server.fault = fault
     async with asyncio.TaskGroup() as tasks:
         for number in range(150):
             tasks.create_task(send_and_leave(site, rng, number))
             await asyncio.sleep(0.01)
-    for server in site.servers:
+    for server in disturbed:
         server.fault = ""
+        server.streamed_body = None
     await wait_until(lambda: not count_busy(site), SETTLED_S + 3.0)
     await wait_until(lambda: not count_differences(site), SETTLED_S)
--- a/tests/runtime/fleet/test_unread_answers.py
+++ b/tests/runtime/fleet/test_unread_answers.py
@@ -27,7 +27,7 @@
 
 
 def answer_long(monkeypatch, status, **extra_fields):
-    def respond(server, request, headers, _):
+    async def respond(server, request, headers, _):
         fields = {**headers, **extra_fields}
         return web.Response(status=status, headers=fields, body=b"x" * LONG)
 
