Replace a log line that can't be encoded, and go on writing

Operators saw an instance that served on without writing any log line, after one request with X-Request-Deadline-Ms: 1e30.

The log thread encodes each batch of lines. orjson refuses integers above 64 bits and texts with surrogates; str refuses integers of more than 4,300 digits. The error ended the thread, and all later lines stayed in the buffer until it was full.

A line that can't be encoded, in either format and for any reason, is replaced by an ERROR line with its message, the names of its fields and the error. The text format no longer takes fields out of the line while it is encoded, so that the replacement can name them all.

--- a/basilwick/logs.py
+++ b/basilwick/logs.py
@@ -8,7 +8,7 @@
 from datetime import UTC, datetime
 from threading import Event, Lock, Thread
 from time import time
-from traceback import format_exception
+from traceback import format_exception, format_exception_only
 from typing import TYPE_CHECKING, Any, BinaryIO, Literal
 
 from loguru import logger
@@ -57,7 +57,7 @@
         secrets: Iterable[str],
     ):
         self._stream = stream
-        self._encode = _encode_json if line_format == "json" else _encode_text
+        self._encode_format = _encode_json if line_format == "json" else _encode_text
         self._secret_texts = [
             text
             for secret in secrets
@@ -132,6 +132,17 @@
                 # The stream's reader is gone; the router keeps running.
                 pass
 
+    def _encode(self, line: dict[str, Any]) -> bytes:
+        """Encode a line, or one in its place that tells why it can't be encoded.
+
+        Fields have values of any kind, among them numbers and texts that callers and
+        servers chose, and no value may end the thread.
+        """
+        try:
+            return self._encode_format(line)
+        except Exception as error:
+            return self._encode_format(_build_replacement_line(line, error))
+
     def _build_dropped_line(self) -> dict[str, Any]:
         dropped, self._dropped_count = self._dropped_count, 0
         return {
@@ -227,6 +238,26 @@
         line[name] = _REDACTED
 
 
+def _build_replacement_line(line: dict[str, Any], error: Exception) -> dict[str, Any]:
+    """Return a line that any format can encode, in place of one that none can."""
+    replacement: dict[str, Any] = {
+        "fields": sorted(_escape(str(name)) for name in line),
+        "error": _escape(format_exception_only(error)[-1].strip()),
+        "time": time(),
+        "level": "ERROR",
+        "message": "log line can't be encoded",
+    }
+    message = line.get("message")
+    if isinstance(message, str):
+        replacement["line"] = _escape(message)
+    return replacement
+
+
+def _escape(text: str) -> str:
+    """Return a text with escapes for all characters that UTF-8 may not have."""
+    return text.encode("utf-8", "backslashreplace").decode()
+
+
 def _encode_json(line: dict[str, Any]) -> bytes:
     _redact(line)
     return dumps(line, default=str) + b"\n"
@@ -234,10 +265,11 @@
 
 def _encode_text(line: dict[str, Any]) -> bytes:
     _redact(line)
-    written_at = datetime.fromtimestamp(line.pop("time"), UTC).isoformat(
+    fields = line.copy()
+    written_at = datetime.fromtimestamp(fields.pop("time"), UTC).isoformat(
         timespec="milliseconds"
     )
-    error = line.pop("exception", "")
-    parts = [written_at, line.pop("level"), line.pop("message")]
-    parts += [f"{name}={value}" for name, value in line.items()]
+    error = fields.pop("exception", "")
+    parts = [written_at, fields.pop("level"), fields.pop("message")]
+    parts += [f"{name}={value}" for name, value in fields.items()]
     return " ".join(parts).encode() + b"\n" + error.encode()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,8 +4,9 @@
 
 from io import BytesIO
 from threading import Event
-from time import monotonic
+from time import monotonic, sleep
 
+import pytest
 from loguru import logger
 from orjson import loads
 
@@ -106,3 +107,65 @@
     lines = [loads(line) for line in stream.getvalue().splitlines()]
     assert sum(line["message"] == "request answered" for line in lines) == 50
     assert sum(line.get("dropped", 0) for line in lines) == 150
+
+
+class UnprintableValue:
+    """Value without a text."""
+
+    def __str__(self):
+        raise RuntimeError("no text")
+
+    __repr__ = __str__
+
+
+@pytest.mark.parametrize("line_format", ["json", "text"])
+@pytest.mark.parametrize(
+    "value",
+    [10**30, -(10**30), 10**5000, "\ud800", UnprintableValue(), {1: {(): 1}}],
+    ids=["integer", "negative", "digits", "surrogate", "unprintable", "nested keys"],
+)
+def test_a_line_that_cannot_be_encoded_does_not_end_the_writer(line_format, value):
+    # Guards against a field that ends the writer's thread, after which no line is
+    # written for the rest of the process's life.
+    stream = BytesIO()
+    writer = configure_logs(stream, line_format=line_format)
+    log_request_line("request answered", request="a", time_left_ms=value)
+    logger.bind(odd=value).warning("odd value")
+    writer.flush()
+    log_request_line("request answered", request="b")
+    close_logs()
+    lines = stream.getvalue().splitlines()
+    assert len(lines) == 3
+    assert b"request answered" in lines[0] and b"time_left_ms" in lines[0]
+    assert b"odd value" in lines[1] and b"odd" in lines[1]
+    assert b"request answered" in lines[2] and b"line can't be encoded" not in lines[2]
+
+
+def test_the_replacement_of_a_line_names_its_fields_and_the_error():
+    # Guards against a replacement from which the failing call can't be found, and one
+    # that shows a secret.
+    stream = BytesIO()
+    configure_logs(stream, secrets=["s-key"])
+    log_request_line("answered s-key", token="tok-en", left=10**30)
+    close_logs()
+    line = loads(stream.getvalue())
+    assert line["message"] == "log line can't be encoded"
+    assert line["level"] == "ERROR"
+    assert line["fields"] == ["left", "level", "message", "time", "token"]
+    assert "64-bit" in line["error"]
+    assert line["line"] == "answered [redacted]"
+    assert b"tok-en" not in stream.getvalue()
+
+
+def test_the_writer_thread_survives_a_field_of_any_kind():
+    # Guards against a thread that has ended while the process goes on.
+    stream = BytesIO()
+    writer = configure_logs(stream)
+    log_request_line("request answered", time_left_ms=10**30)
+    for _ in range(200):
+        if stream.getvalue():
+            break
+        sleep(0.01)
+    assert writer._thread.is_alive()
+    close_logs()
+    assert b"log line can't be encoded" in stream.getvalue()
