Bound the numbers in the header fields of callers and servers

A request with an X-Shard-Key of 5,000 digits lost its connection without an answer: int() refuses texts of more than 4,300 digits, and the error left the handler. A deadline of 1e30 or -1e30 ms ended the log thread, and a warm-up of 1e30 ms kept a server cold for good.

No request is refused with 4xx for such a value. Unreadable limits stay unreadable, and one above UNLIMITED_RATE counts as that.

The stand-in of a server refuses a key that it can't read as one that it doesn't hold; it answered 500, which showed as 502.

--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -19,6 +19,7 @@
 
 #: Time in seconds after which the first answer to a request has been written.
 _FIRST_ANSWER_S = 0.001
+_MAX_KEY_DIGITS = 20
 
 
 @frozen
@@ -223,7 +224,7 @@
         if self.leaving_statement:
             headers["Server-Leaving"] = self.leaving_statement
         expected = request.headers.get("X-Expected-Instance", self.name)
-        key = int(request.headers.get("X-Shard-Key", -1))
+        key = _read_key(request.headers.get("X-Shard-Key", ""))
         held = not self.partitioned or self.holds(key)
         if expected != self.name or not held:
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
@@ -329,3 +330,8 @@
         if status == 500:
             return web.Response(status=500, headers=headers)
         return web.Response(body=self.name.encode() * 10, headers=headers)
+
+
+def _read_key(value: str) -> int:
+    """Return the key of a request, -1, which no server holds, if it is unreadable."""
+    return int(value) if value.isdecimal() and len(value) <= _MAX_KEY_DIGITS else -1
--- a/basilwick/platform/http_messages.py
+++ b/basilwick/platform/http_messages.py
@@ -38,6 +38,11 @@
 _HANDOVER_TOKEN = b"x-handover"
 _MS = 0.001
 _MAX_KEY = 65_535
+#: Largest number of digits of a key, with leading zeros. Python refuses to convert
+#: texts of thousands of digits.
+_MAX_KEY_DIGITS = 20
+#: Longest duration in seconds that makes sense; a longer one is a fault of its sender.
+_MAX_DURATION_S = 86_400.0
 
 
 @frozen
@@ -49,9 +54,10 @@
     request_id : bytes
         Identifier of the request; each attempt of the caller has another one.
     time_left_s : float or None
-        Seconds for which the caller waits for the response, None if not given.
+        Seconds for which the caller waits for the response, None if not given,
+        unreadable or longer than a day.
     key : int
-        Key of a partitioned service, -1 if there is none.
+        Key of a partitioned service, -1 if there is none or it is out of range.
     """
 
     request_id: bytes
@@ -71,7 +77,8 @@
     not_run : bool
         Whether the server states that it did not run the request.
     warm_up_left_s : float
-        Seconds for which the server stays cold.
+        Seconds for which the server stays cold, 0 if not given, unreadable or longer
+        than a day.
     handover_token : str or None
         Token with which the next owner of released keys starts warm.
     rate_limit : float or None
@@ -80,7 +87,8 @@
     leaving : bool
         Whether the server states that it leaves.
     retry_after_s : float
-        Seconds for which the server wants no requests, 0 if not given or unreadable.
+        Seconds for which the server wants no requests, 0 if not given, unreadable or
+        longer than a day.
     identity_conflict : bool
         Whether the response gives identifiers that differ.
     """
@@ -96,7 +104,11 @@
 
 
 def read_request_metadata(fields: Iterable[tuple[bytes, bytes]]) -> RequestMetadata:
-    """Read the metadata of a caller's request; unreadable fields count as absent."""
+    """Read the metadata of a caller's request.
+
+    Unreadable fields count as absent, and so do a key above 65,535 and a deadline that
+    is no finite number or is longer than a day. A negative deadline counts as 0.
+    """
     request_id = b""
     time_left_s = None
     key = -1
@@ -105,16 +117,18 @@
         if field_name == _REQUEST_ID:
             request_id = value
         elif field_name == _DEADLINE:
-            time_left_s = _parse_number(value, None)
-        elif field_name == _KEY and value.isdigit() and int(value) <= _MAX_KEY:
-            key = int(value)
-    if time_left_s is not None:
-        time_left_s *= _MS
+            time_left_s = _parse_duration_s(value, _MS, None)
+        elif field_name == _KEY:
+            key = _parse_key(value, key)
     return RequestMetadata(request_id, time_left_s, key)
 
 
 def read_response_metadata(fields: Iterable[tuple[bytes, bytes]]) -> ResponseMetadata:
-    """Read the metadata of a server's response."""
+    """Read the metadata of a server's response.
+
+    A duration that is unreadable or longer than a day counts as absent, and a negative
+    one as 0. A rate limit above `UNLIMITED_RATE` counts as that.
+    """
     values = {}
     rate_limit: float | None = UNLIMITED_RATE
     leaving = False
@@ -130,12 +144,12 @@
         elif field_name == _LEAVING:
             leaving |= value.strip() == b"1"
         elif field_name == _RETRY_AFTER:
-            retry_after_s = max(retry_after_s, _parse_number(value, 0.0))
+            retry_after_s = max(retry_after_s, _parse_duration_s(value, 1.0, 0.0))
     handover_token = values.get(_HANDOVER_TOKEN)
     return ResponseMetadata(
         b"" if identity_conflict else values.get(_REQUEST_ID, b""),
         _NOT_RUN in values,
-        _parse_number(values.get(_WARM_UP_LEFT, b""), 0.0) * _MS,
+        _parse_duration_s(values.get(_WARM_UP_LEFT, b""), _MS, 0.0),
         None if handover_token is None else handover_token.decode("latin-1"),
         rate_limit,
         leaving,
@@ -220,15 +234,36 @@
 
 def _parse_rate_limit(value: bytes, upper_bound: float) -> float | None:
     """Return a stated rate limit up to a bound, None if it is unreadable."""
-    rate_limit = _parse_number(value, None)
+    rate_limit = _parse_number(value)
     if rate_limit is None or rate_limit < 0.0:
         return None
     return min(rate_limit, upper_bound)
 
 
-def _parse_number(value: bytes, default: float | None) -> float | None:
+def _parse_key(value: bytes, default: int) -> int:
+    if not value.isdigit() or len(value) > _MAX_KEY_DIGITS:
+        return default
+    key = int(value)
+    return key if key <= _MAX_KEY else default
+
+
+def _parse_duration_s(
+    value: bytes, unit_s: float, default: float | None
+) -> float | None:
+    """Return a duration in seconds, 0 for a negative one.
+
+    Returns the default if it is no finite number or above the longest duration.
+    """
+    number = _parse_number(value)
+    if number is None or number * unit_s > _MAX_DURATION_S:
+        return default
+    return max(0.0, number * unit_s)
+
+
+def _parse_number(value: bytes) -> float | None:
+    """Return a finite number, None if the text is none."""
     try:
         number = float(value)
     except ValueError:
-        return default
-    return number if isfinite(number) else default
+        return None
+    return number if isfinite(number) else None
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -18,6 +18,7 @@
 )
 from basilwick.platform.deployment import load_deployment
 from basilwick.platform.http_messages import (
+    RequestMetadata,
     encode_grant,
     encode_release,
     encode_request_head,
@@ -288,6 +289,48 @@
     assert metadata.warm_up_left_s == 0.0
 
 
+#: Texts that are no number, or one that nothing can be done with.
+ABSURD_NUMBERS = [
+    b"nan",
+    b"inf",
+    b"-inf",
+    b"Infinity",
+    b"1e30",
+    b"1e308",
+    b"1e999",
+    b"9" * 400,
+    b"9" * 5000,
+    b"86400000001",
+    b"0x10",
+    b"\xff",
+    b"",
+]
+
+
+@pytest.mark.parametrize("value", ABSURD_NUMBERS)
+def test_an_absurd_number_in_a_field_counts_as_absent(value):
+    """A caller's deadline of 1e30 ended the log thread, a long key its connection."""
+    fields = [(b"X-Request-Deadline-Ms", value), (b"X-Shard-Key", value)]
+    assert read_request_metadata(fields) == RequestMetadata(b"", None, -1)
+    metadata = read_response_metadata([(b"X-Warmup-Remaining-Ms", value)])
+    assert metadata.warm_up_left_s == 0.0
+    metadata = read_response_metadata([(b"Retry-After", value)])
+    assert 0.0 <= metadata.retry_after_s < float("inf")
+    metadata = read_response_metadata([(b"Server-Limit", value)])
+    assert metadata.rate_limit in (None, UNLIMITED_RATE)
+
+
+@pytest.mark.parametrize("value", [b"-1", b"-1e30", b"-86400000001", b"-0.5"])
+def test_a_negative_duration_counts_as_zero(value):
+    """A caller's deadline of -1e30 ended the log thread too."""
+    fields = [(b"X-Request-Deadline-Ms", value), (b"X-Shard-Key", value)]
+    assert read_request_metadata(fields) == RequestMetadata(b"", 0.0, -1)
+    metadata = read_response_metadata(
+        [(b"X-Warmup-Remaining-Ms", value), (b"Retry-After", value)]
+    )
+    assert (metadata.warm_up_left_s, metadata.retry_after_s) == (0.0, 0.0)
+
+
 @pytest.mark.parametrize(
     ("values", "rate_limit"),
     [
