Don't count a server as unreachable for a caller without time

Two requests with X-Request-Deadline-Ms: 0 (or a negative value, or so little that a few hundredths of a second are left) made an instance refuse all callers' requests to a service of two sound servers, with "no server can be reached".

The request's own time ended before a connection was open, and the client reported that as unreachable, so the dispatcher kept away from the server.

A request whose time has passed is refused as not run before a server is chosen; it was sent with 1 ms left when a connection was idle. A request that had less than 0.05 s for its connection is reported as withdrawn, which says nothing about its server.

--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -249,6 +249,9 @@
         except BodyRejectedError as error:
             context.reason = "the body is unreadable or too large"
             return Answer(error.status, [(b"Connection", b"close")])
+        if context.deadline <= self._clock():
+            context.reason = "the caller's time had passed"
+            return _make_unavailable_response(0.1)
         failed_response: ServerAnswer | None = None
         while (
             context.attempts < context.route.max_attempts
--- a/basilwick/transport/server_client.py
+++ b/basilwick/transport/server_client.py
@@ -45,6 +45,9 @@
 #: The limit is stricter for requests that are not idempotent.
 _IDEMPOTENT_IDLE_LIMIT_S = 4.0
 _NON_IDEMPOTENT_IDLE_LIMIT_S = 1.5
+#: Time in seconds within which a connection to a server that can be reached is opened.
+#: It usually takes about 1 ms.
+_USUAL_CONNECT_TIME_S = 0.05
 #: Answers to other requests that are skipped before a connection is closed.
 _MAX_STRAY_ANSWERS = 3
 #: Interim answers (1xx) that are skipped before an answer.
@@ -196,7 +199,7 @@
                 return await self._send_on_connection(pool, request, attempt)
         except TimeoutError:
             if attempt.connection is None:
-                return SendFailure(SendOutcome.UNREACHABLE, False, "no connection")
+                return _make_no_connection_failure(timeout_s)
             # Connections to one address often stop receiving at the same time.
             pool.discard_silent(attempt.sent_at)
             return SendFailure(SendOutcome.TIMEOUT, attempt.wrote, "no answer in time")
@@ -366,6 +369,17 @@
         )
 
 
+def _make_no_connection_failure(timeout_s: float) -> SendFailure:
+    """Describe a request whose time ended before it had a connection.
+
+    If it had little time, this says nothing about the server.
+    """
+    if timeout_s < _USUAL_CONNECT_TIME_S:
+        detail = "no time to open a connection"
+        return SendFailure(SendOutcome.WITHDRAWN, False, detail)
+    return SendFailure(SendOutcome.UNREACHABLE, False, "no connection")
+
+
 async def _replace_closed(pool: ConnectionPool, connection: HttpConnection) -> None:
     try:
         await pool.replace(connection)
--- a/tests/runtime/fleet/test_absurd_numbers.py
+++ b/tests/runtime/fleet/test_absurd_numbers.py
@@ -14,6 +14,8 @@
 
 NUMBERS = ["nan", "inf", "-inf", "1e30", "1e308", "1e999", "0x10", ""]
 NUMBERS += ["9" * 400, "9" * 5000, "-" + "9" * 400]
+#: Deadlines in milliseconds that have passed or leave no time to open a connection.
+PASSED = ["-1e30", "-1", "0", "10", "10.1", "10.2", "11"]
 
 
 @pytest_asyncio.fixture
@@ -64,3 +66,14 @@
         assert (await reader.read()).startswith(b"HTTP/1.1 400 ")
     writer.close()
     assert (await site.order()).status == 200
+
+
+async def test_callers_without_time_take_no_server_out_of_service(site):
+    """Two requests with a passed deadline made both servers count as unreachable."""
+    # Servers that are cold refuse requests that come too fast.
+    await asyncio.sleep(1.2)
+    for index in (0, 1):
+        for number in PASSED:
+            response = await site.order(index, **{"X-Request-Deadline-Ms": number})
+            assert response.status in (503, 504)
+            assert (await site.order(index)).status == 200
--- a/tests/transport/test_server_client.py
+++ b/tests/transport/test_server_client.py
@@ -131,6 +131,14 @@
     assert (result.outcome, result.may_have_run) == (SendOutcome.UNREACHABLE, False)
 
 
+async def test_a_request_without_time_tells_nothing_about_its_server(client):
+    """A caller's short deadline took a sound server out of service."""
+    server, address = await serve(lambda reader, writer: None)
+    result = await client.send(address, REQUEST, 0.0, 4)
+    assert (result.outcome, result.may_have_run) == (SendOutcome.WITHDRAWN, False)
+    server.close()
+
+
 async def test_a_timeout_closes_idle_connections_that_received_nothing(client):
     """Idle connections that failed together with another one were reused.
 
