Refuse a configuration whose version no log line can hold

A version of 400 digits was taken over. Each line about a request has the version, and the JSON format holds no integers above 64 bits.

A version above 2**50 makes the configuration unreadable, and the last usable one stays in force. A version of more than 4,300 digits already did, as int() refuses it. The new test failed on the former code for 400 digits.

--- a/basilwick/platform/decoding.py
+++ b/basilwick/platform/decoding.py
@@ -52,6 +52,7 @@
 _MAX_NUMBER = 1e12
 _MAX_STARTED_MS = 1 << 50
 _MAX_SEQUENCE = 1 << 40
+_MAX_VERSION = 1 << 50
 _MAX_ATTEMPTS = 1000
 _MAX_PRIORITY = 1000
 _MAX_CONNECTIONS = 1_000_000
@@ -252,7 +253,10 @@
 def _parse_version(value: Any) -> int:
     if not isinstance(value, str) or not value.startswith("r"):
         raise ValueError(f"version {_quote(value)} is not 'r' followed by a number")
-    return int(value[1:])
+    version = int(value[1:])
+    if version > _MAX_VERSION:
+        raise ValueError(f"version {_quote(value)} is above r{_MAX_VERSION}")
+    return version
 
 
 def _decode_route(name: str, spec: dict[str, Any]) -> Route:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -331,6 +331,14 @@
     assert (metadata.warm_up_left_s, metadata.retry_after_s) == (0.0, 0.0)
 
 
+@pytest.mark.parametrize("digits", [400, 5000])
+def test_a_version_of_many_digits_is_unreadable(digits):
+    """Each line about a request has the version, which must fit its format."""
+    value = dumps({"version": "r" + "9" * digits, "resources": []})
+    with pytest.raises(UnreadableEntryError):
+        decode_configuration(value)
+
+
 @pytest.mark.parametrize(
     ("values", "rate_limit"),
     [
