--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from random import Random
-from signal import SIGHUP
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -167,7 +166,6 @@
 
     async def start(self) -> None:
         """Start listening and join the site."""
-        asyncio.get_running_loop().add_signal_handler(SIGHUP, self._log_reload)
         await self._store.start()
         await self._listener.start()
         await self._caller_server.start()
@@ -185,6 +183,12 @@
             data_centre=self._deployment.data_centre,
         ).info("instance started")
 
+    def reload(self) -> None:
+        """Log that the settings have changed; none can be applied while it runs."""
+        logger.bind(instance=self._deployment.instance).info(
+            "settings changed; none of them can be applied without a restart"
+        )
+
     async def close(self) -> None:
         """Leave the site, finish the running requests, and close all connections."""
         logger.bind(instance=self._deployment.instance).info("instance stopping")
@@ -290,11 +294,6 @@
                 self._limits.idle_timeout_s, self._limits.header_timeout_s
             )
 
-    def _log_reload(self) -> None:
-        logger.bind(instance=self._deployment.instance).info(
-            "settings changed; none of them can be applied without a restart"
-        )
-
     def _record_discarded(self, answer: DiscardedAnswer) -> None:
         self.metrics.count_discarded_answer(answer.reason)
         log_request_line(
