--- a/tests/runtime/fleet/test_signals.py
+++ b/tests/runtime/fleet/test_signals.py
@@ -10,12 +10,29 @@
 import pytest
 import pytest_asyncio
 from aiohttp import ClientSession
-from fleet_site import HOST, make_configuration
+from fleet_site import HOST, make_configuration, wait_until
 
 from basilwick.fakes.key_server import KeyServer
 from basilwick.fakes.kv_service import KvService
 from basilwick.testing import allocate_ports, wait_for_port
 
+#: Runs a command that gets a signal when a module is about to be imported.
+SIGNAL_AT_IMPORT = """
+import os, runpy, sys
+name, number = sys.argv[1], int(sys.argv[2])
+class Finder:
+    def find_spec(self, module, path, target=None):
+        if module == name:
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), number)
+sys.meta_path.insert(0, Finder())
+sys.argv = ["basilwick", *sys.argv[3:]]
+runpy.run_module("basilwick", run_name="__main__", alter_sys=True)
+"""
+#: Modules imported while the command starts, from its first import to the last ones.
+MODULES = ["basilwick.cli.main", "click", "aiohttp", "basilwick.platform.deployment"]
+MODULES.append("basilwick.runtime.fleet.fleet_instance")
+
 
 class JoinedProcess:
     """A process of ``basilwick join``, a store and a server for it."""
@@ -131,3 +148,23 @@
     finally:
         os.close(controller)
         os.close(terminal)
+
+
+@pytest.mark.parametrize("module", MODULES)
+async def test_a_hangup_while_the_process_starts_does_not_end_it(joined, module):
+    """SIGHUP in the first 0.5 s ended the process."""
+    await joined.start("-c", SIGNAL_AT_IMPORT, module, str(int(SIGHUP)))
+    await joined.wait_until_served()
+    await wait_until(lambda: "settings changed" in joined.output.read_text())
+    joined.process.send_signal(SIGTERM)
+    assert await joined.wait_for_end() == 0
+
+
+@pytest.mark.parametrize("module", MODULES)
+async def test_a_stop_while_the_process_starts_ends_it_cleanly(joined, module):
+    """SIGTERM during the start ended the process like a crash, or not at all."""
+    await joined.start("-c", SIGNAL_AT_IMPORT, module, str(int(SIGTERM)))
+    assert await joined.wait_for_end() == 0
+    output = joined.output.read_text()
+    assert "stopped before its start" in output
+    assert "instance started" not in output and "Traceback" not in output
