Keep no entry of a refused request

An instance's memory grew by about 130 bytes with each refused request, on the leader for the life of the link and for its own requests until the process ended.

DispatchRunner keeps the requests of each peer, to withdraw them when the peer's link ends. An entry was removed when the peer reported the end of a send or withdrew the request, and neither happens after a refusal. A refused request is now removed when its refusal is delivered, and a peer without requests too.

--- a/basilwick/runtime/fleet/dispatch_runner.py
+++ b/basilwick/runtime/fleet/dispatch_runner.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, TypeAlias
 
+from basilwick.core.dispatch.messages import Refused
 from basilwick.runtime.fleet.loops import run_periodically
 
 if TYPE_CHECKING:
@@ -24,6 +25,9 @@
 #: Interval in seconds at which the dispatcher decides on waiting requests.
 _ADVANCE_INTERVAL_S = 0.02
 
+#: Peer and number of a request.
+_RequestId: TypeAlias = "tuple[Hashable, int]"
+
 
 class DispatchClient(Protocol):
     """Interface through which an instance requests decisions of a dispatcher."""
@@ -55,7 +59,8 @@
         self.dispatcher = dispatcher
         self._clock = clock
         self._replies: dict[Hashable, Callable[[DispatchDecision | None], None]] = {}
-        self._request_ids: dict[Hashable, set[Hashable]] = {}
+        #: Requests of each peer that wait or were assigned and have not ended.
+        self._request_ids: dict[Hashable, set[_RequestId]] = {}
         #: Set when a request has to wait for its decision.
         self._has_waiting = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -73,6 +78,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        self._request_ids.clear()
         replies, self._replies = self._replies, {}
         for reply in replies.values():
             reply(None)
@@ -96,7 +102,7 @@
     def finish(self, peer: Hashable, finished: SendFinished) -> None:
         """Record the outcome of a peer's send."""
         request_id = (peer, finished.number)
-        self._request_ids.get(peer, set()).discard(request_id)
+        self._forget(request_id)
         self._deliver(self.dispatcher.finish(request_id, finished, self._clock()))
 
     def record_rate_limit(self, report: RateLimitReport) -> None:
@@ -110,7 +116,7 @@
     def cancel(self, peer: Hashable, number: int) -> None:
         """Withdraw a dispatch request or a send of a peer."""
         request_id = (peer, number)
-        self._request_ids.get(peer, set()).discard(request_id)
+        self._forget(request_id)
         self._replies.pop(request_id, None)
         self._deliver(self.dispatcher.cancel(request_id, self._clock()))
 
@@ -124,8 +130,23 @@
         """Decide on waiting requests now."""
         self._deliver(self.dispatcher.advance(self._clock()))
 
-    def _deliver(self, decisions: Iterable[tuple[Hashable, DispatchDecision]]) -> None:
+    def _forget(self, request_id: _RequestId) -> None:
+        """Remove a request that has ended."""
+        peer = request_id[0]
+        request_ids = self._request_ids.get(peer)
+        if request_ids is None:
+            return
+        request_ids.discard(request_id)
+        if not request_ids:
+            del self._request_ids[peer]
+
+    def _deliver(
+        self, decisions: Iterable[tuple[_RequestId, DispatchDecision]]
+    ) -> None:
         for request_id, decision in decisions:
+            if isinstance(decision, Refused):
+                # No end of a refused request is reported.
+                self._forget(request_id)
             reply = self._replies.pop(request_id, None)
             if reply is not None:
                 reply(decision)
