--- a/basilwick/fakes/key_server.py
+++ b/basilwick/fakes/key_server.py
@@ -20,6 +20,7 @@
 
 #: Time in seconds after which the first answer to a request has been written.
 _FIRST_ANSWER_S = 0.001
+_MAX_KEY_DIGITS = 20
 
 
 @frozen
@@ -240,7 +241,7 @@
         if self.leaving_statement:
             headers["Server-Leaving"] = self.leaving_statement
         expected = request.headers.get("X-Expected-Instance", self.name)
-        key = int(request.headers.get("X-Shard-Key", -1))
+        key = _read_key(request.headers.get("X-Shard-Key", ""))
         held = not self.partitioned or self.holds(key)
         if expected != self.name or not held:
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
@@ -352,3 +353,8 @@
             return web.Response(status=status, body=body, headers=headers)
         body = self.name.encode() * max(10, self.response_bytes // len(self.name))
         return web.Response(body=body, headers=headers)
+
+
+def _read_key(value: str) -> int:
+    """Return the key of a request, -1, which no server holds, if it is unreadable."""
+    return int(value) if value.isdecimal() and len(value) <= _MAX_KEY_DIGITS else -1
