Let the soak's servers answer twice with different statuses

Callers got a success although the backend server had answered a failure: the server answered a request a second time, late and with another status. The soak couldn't find this. Its servers never answered twice with different statuses, and its checks compared identities and bodies only.

Servers now draw a status for each request (200, 500, rejection) for some seconds, and answer most requests again: whole, cut off within the head, or with rejections that carry no identity. One caller in ten leaves before its answer. Both are drawn from generators of their own, so the other faults and the calls of a seed stay what they were. A server that makes a statement gives no second answers, because an instance may drop the connection with both of them and never read the statement, which the checks count as made.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -23,6 +23,10 @@
 TIME_LEFT_S = 1.5
 #: Fraction of calls that are idempotent reads of a key.
 _READ_FRACTION = 0.6
+#: Fraction of calls whose caller leaves before the answer, and the longest time in
+#: seconds for which it waits: about twice the service time of the soak's servers.
+_LEAVING_FRACTION = 0.1
+_MAX_LEAVING_S = 0.06
 
 
 @define(eq=False)
@@ -33,6 +37,8 @@
     ----------
     status : int
         HTTP status, 0 if the connection ended before a complete response.
+    left : bool
+        Whether the caller closed the connection before a complete response.
     """
 
     request_id: str
@@ -45,14 +51,23 @@
     answered_id: str = ""
     signature: str = ""
     body: bytes = b""
+    left: bool = False
 
 
 @define(eq=False)
 class SoakCallers:
-    """Sends reads and orders at a rate, over persistent connections."""
+    """Sends reads and orders at a rate, over persistent connections.
+
+    Parameters
+    ----------
+    leaving_rng : random.Random
+        Source of the choices which callers leave and when, apart from those of `rng`,
+        so that the calls of a seed stay the same.
+    """
 
     site: SoakSite
     rng: Random
+    leaving_rng: Random
     rate: float
     calls: list[Call] = field(factory=list)
     _request_numbers: count = field(factory=lambda: count(1))
@@ -80,16 +95,39 @@
             instance = self.rng.choice(self.site.instances)
             read = self.rng.random() < _READ_FRACTION
             task = asyncio.create_task(
-                self._record(instance, read, self.rng.choice(KEYS))
+                self._record(
+                    instance, read, self.rng.choice(KEYS), self._draw_patience()
+                )
             )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _record(self, instance: Instance, read: bool, key: int) -> None:
-        self.calls.append(await self.call(instance, read, key))
-
-    async def call(self, instance: Instance, read: bool, key: int) -> Call:
-        """Send one request and return the call with its response."""
+    def _draw_patience(self) -> float | None:
+        """Return the seconds after which a caller leaves, None if it stays."""
+        if self.leaving_rng.random() >= _LEAVING_FRACTION:
+            return None
+        return self.leaving_rng.uniform(0.0, _MAX_LEAVING_S)
+
+    async def _record(
+        self, instance: Instance, read: bool, key: int, patience_s: float | None
+    ) -> None:
+        self.calls.append(await self.call(instance, read, key, patience_s))
+
+    async def call(
+        self,
+        instance: Instance,
+        read: bool,
+        key: int,
+        patience_s: float | None = None,
+    ) -> Call:
+        """Send one request and return the call with its response.
+
+        Parameters
+        ----------
+        patience_s : float or None
+            Seconds after which the caller closes the connection; None if it waits for
+            the response until its timeout.
+        """
         call = Call(
             f"q{next(self._request_numbers)}", read, key, instance.name, monotonic()
         )
@@ -103,15 +141,20 @@
         path = f"/read/{key}" if read else f"/order/{key}"
         method, body = ("GET", None) if read else ("POST", b"order")
         try:
-            async with self._session.request(
-                method, f"http://{instance.caller}{path}", data=body, headers=headers
-            ) as response:
-                call.body = await response.read()
-                call.answered_id = response.headers.get("X-Request-Id", "")
-                call.signature = response.headers.get("X-Response-Signature", "")
-                call.status = response.status
+            async with asyncio.timeout(patience_s) as patience:
+                async with self._session.request(
+                    method,
+                    f"http://{instance.caller}{path}",
+                    data=body,
+                    headers=headers,
+                ) as response:
+                    call.body = await response.read()
+                    call.answered_id = response.headers.get("X-Request-Id", "")
+                    call.signature = response.headers.get("X-Response-Signature", "")
+                    call.status = response.status
         except (ClientError, OSError, TimeoutError):
             # Status 0: without a complete response the request may or may not have run.
             call.status = 0
+            call.left = patience.expired()
         call.ended_at = monotonic()
         return call
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -38,13 +38,15 @@
 def find_cut_calls(calls: Sequence[Call], log: RunLog) -> list[str]:
     """Return one line for each call that ran and was cut off before its deadline.
 
-    Only planned maintenance guarantees that there are none.
+    Callers that left by themselves don't count. Only planned maintenance guarantees
+    that there are none.
     """
     ran = {run.request_id for run in log.runs}
     return [
         f"{call.request_id} ran and was cut off by {call.instance}"
         for call in calls
         if not call.status
+        and not call.left
         and call.request_id in ran
         and call.ended_at - call.began_at < TIME_LEFT_S
     ]
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -3,26 +3,42 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING
 
 from attrs import define, frozen
 
 from basilwick.fakes.proxy import LinkFault
+from basilwick.fakes.second_answers import SecondAnswers
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
-    from random import Random
 
     from basilwick.fakes.key_server import KeyServer
     from benchmarks.soak.site import Instance, SoakSite
 
-__all__ = ["PLANNED", "Fault", "draw_faults", "draw_statements", "inject"]
+__all__ = [
+    "PLANNED",
+    "Fault",
+    "draw_faults",
+    "draw_second_answers",
+    "draw_statements",
+    "inject",
+]
 
 #: Planned maintenance operations, during which no request may be lost.
 PLANNED = frozenset({"stop", "reload", "drain", "configure", "evacuate"})
 _LINK_FAULTS = tuple(f for f in LinkFault if f is not LinkFault.NONE)
 _SERVER_FAULTS = ("lose", "shed", "stray", "fail")
+#: Fraction of its requests that a server answers twice during that fault.
+_SECOND_ANSWERS_SHARE = 0.8
+#: Options of the second answers of a server, by the variant of the fault.
+_SECOND_ANSWERS = {
+    "whole": {},
+    "cut": {"cut": True},
+    "unidentified": {"identified": False},
+}
 #: Time in seconds between the end of a process and its restart.
 _RESTART_DELAY_S = 0.4
 #: Time in seconds between SIGTERM and SIGKILL.
@@ -99,6 +115,14 @@
     return _draw(sorted(_STATEMENT_ACTIONS), rng, length_s, pause_s)
 
 
+def draw_second_answers(rng: Random, length_s: float, pause_s: float) -> list[Fault]:
+    """Draw servers that answer some requests twice, with different statuses.
+
+    They are drawn apart, so that the other faults of a seed stay the same.
+    """
+    return _draw(["second_answers"], rng, length_s, pause_s)
+
+
 def _draw(
     kinds: list[str], rng: Random, length_s: float, pause_s: float
 ) -> list[Fault]:
@@ -111,6 +135,8 @@
             how = rng.choice(_LINK_FAULTS).value
         elif kind == "trouble":
             how = rng.choice(_SERVER_FAULTS)
+        elif kind == "second_answers":
+            how = rng.choice(sorted(_SECOND_ANSWERS))
         for_s = min(rng.choice((0.3, 1.0, 2.5, 5.0)), length_s - at_s)
         faults.append(Fault(kind, at_s, for_s, rng.randrange(1000), how))
         at_s += rng.expovariate(1.0 / pause_s)
@@ -119,8 +145,8 @@
 
 async def inject(site: SoakSite, fault: Fault) -> None:
     """Inject a fault and end it after its duration."""
-    action = _ACTIONS.get(fault.kind) or _STATEMENT_ACTIONS[fault.kind]
-    await action(_Target(site, fault))
+    actions = _ACTIONS | _STATEMENT_ACTIONS | _ANSWER_ACTIONS
+    await actions[fault.kind](_Target(site, fault))
 
 
 async def _kill(target: _Target) -> None:
@@ -208,6 +234,18 @@
     server.fault = ""
 
 
+async def _answer_twice(target: _Target) -> None:
+    fault = target.fault
+    server = target.site.slots[target.slot]
+    if server.leaving_statement or server.pause:
+        return
+    rng = Random(f"{fault.at_s} {fault.where}")
+    options = _SECOND_ANSWERS[fault.how]
+    server.second_answers = SecondAnswers(rng, _SECOND_ANSWERS_SHARE, **options)
+    await asyncio.sleep(fault.for_s)
+    server.second_answers = None
+
+
 async def _drain(target: _Target) -> None:
     if not target.site.slots[target.slot].leaving:
         await target.site.drain_server(target.slot)
@@ -221,11 +259,20 @@
         await target.site.crash_server(target.slot)
 
 
+def _end_second_answers(server: KeyServer) -> None:
+    """Let no second answer hide an answer that makes a statement.
+
+    An instance may drop the connection with both of them, and learn nothing.
+    """
+    server.second_answers = None
+
+
 async def _state_leaving(target: _Target) -> None:
     """Let a server state that it leaves, which its registration doesn't say."""
     server = target.site.slots[target.slot]
     if server.leaving or server.leaving_statement:
         return
+    _end_second_answers(server)
     server.leaving_statement = "1"
     await asyncio.sleep(_LEAVES_AFTER_S)
     if not server.leaving:
@@ -236,6 +283,7 @@
 
 async def _state_pause(target: _Target) -> None:
     server = target.site.slots[target.slot]
+    _end_second_answers(server)
     server.pause = str(target.fault.for_s)
     await asyncio.sleep(min(target.fault.for_s, _PAUSE_STATED_S))
     server.pause = ""
@@ -280,3 +328,6 @@
     "state_limit": _state_limit,
     "state_pause": _state_pause,
 }
+_ANSWER_ACTIONS: dict[str, Callable[[_Target], Awaitable[None]]] = {
+    "second_answers": _answer_twice,
+}
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -11,9 +11,16 @@
 from attrs import frozen
 
 from basilwick.testing import run_processes
+from benchmarks.soak.answers import find_answer_violations
 from benchmarks.soak.callers import SoakCallers
 from benchmarks.soak.checks import find_cut_calls, find_violations
-from benchmarks.soak.faults import Fault, draw_faults, draw_statements, inject
+from benchmarks.soak.faults import (
+    Fault,
+    draw_faults,
+    draw_second_answers,
+    draw_statements,
+    inject,
+)
 from benchmarks.soak.site import KEYS, SoakSite
 from benchmarks.soak.statements import find_statement_violations
 
@@ -30,6 +37,8 @@
 _START_TIMEOUT_S = 20.0
 #: Mean time between two statements of servers, as a multiple of that between faults.
 _STATEMENT_PAUSE_FACTOR = 3.0
+#: The same between two servers that begin to answer requests twice.
+_SECOND_ANSWERS_PAUSE_FACTOR = 1.0
 
 
 @frozen
@@ -84,9 +93,13 @@
         statements_rng = Random(f"statements {plan.seed}")
         pause_s = _STATEMENT_PAUSE_FACTOR * plan.pause_s
         faults += draw_statements(statements_rng, plan.length_s, pause_s)
+        answers_rng = Random(f"second answers {plan.seed}")
+        pause_s = _SECOND_ANSWERS_PAUSE_FACTOR * plan.pause_s
+        faults += draw_second_answers(answers_rng, plan.length_s, pause_s)
     async with run_processes(directory) as group:
         site = SoakSite(directory, group, plan.instances)
-        callers = SoakCallers(site, rng, plan.rate)
+        leaving_rng = Random(f"leaving callers {plan.seed}")
+        callers = SoakCallers(site, rng, leaving_rng, plan.rate)
         try:
             await site.start()
             await callers.start()
@@ -100,6 +113,7 @@
             await callers.close()
             await site.close()
     violations = find_violations(callers.calls, site.log)
+    violations += find_answer_violations(callers.calls, site.servers)
     violations += find_statement_violations(
         callers.calls,
         site.servers,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -84,4 +84,5 @@
     log = make_log((make_run(), ()))
     assert find_cut_calls([make_call(0)], log)
     assert not find_cut_calls([make_call(0, ended_at=1.9)], log)
+    assert not find_cut_calls([make_call(0, left=True)], log)
     assert not find_cut_calls([make_call(0)], make_log())
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -6,8 +6,18 @@
 from random import Random
 from types import SimpleNamespace
 
+import pytest
+
+from basilwick.fakes.key_server import KeyServer
 from basilwick.testing import ManagedProcess, run_processes
-from benchmarks.soak.faults import PLANNED, Fault, draw_faults, inject
+from benchmarks.soak.faults import (
+    PLANNED,
+    Fault,
+    draw_faults,
+    draw_second_answers,
+    draw_statements,
+    inject,
+)
 from benchmarks.soak.site import Instance
 
 
@@ -20,6 +30,47 @@
     assert {fault.kind for fault in faults} == PLANNED
 
 
+def test_second_answers_are_drawn_apart_from_other_faults():
+    """The other faults of a seed changed, so that former findings were lost."""
+    others = draw_faults(Random(4), 60.0, 0.5) + draw_statements(Random(4), 60.0, 0.5)
+    assert "second_answers" not in {fault.kind for fault in others}
+    drawn = draw_second_answers(Random(4), 60.0, 0.5)
+    assert drawn == draw_second_answers(Random(4), 60.0, 0.5)
+    assert {fault.how for fault in drawn} == {"whole", "cut", "unidentified"}
+
+
+@pytest.mark.parametrize("how", ["whole", "cut", "unidentified"])
+async def test_a_server_answers_twice_until_the_fault_ends(how):
+    server = KeyServer("s", "desk", "a", None, [])
+    site = SimpleNamespace(slots={"desk-0": server})
+    injected = asyncio.create_task(
+        inject(site, Fault("second_answers", 0.0, 0.01, 0, how))
+    )
+    await asyncio.sleep(0)
+    answers = server.second_answers
+    assert (answers.cut, answers.identified) == (how == "cut", how != "unidentified")
+    await injected
+    assert server.second_answers is None
+
+
+@pytest.mark.parametrize("kind", ["state_leaving", "state_pause"])
+async def test_no_second_answer_hides_a_statement(kind):
+    """A statement counted as made although the instance had dropped its connection."""
+    server = KeyServer("s", "desk", "a", None, [])
+    site = SimpleNamespace(slots={"desk-0": server})
+    second = Fault("second_answers", 0.0, 1.0, 0, "whole")
+    faults = [second, Fault(kind, 0.0, 1.0, 0), second]
+    injected = []
+    for fault in faults:
+        injected.append(asyncio.create_task(inject(site, fault)))
+        await asyncio.sleep(0)
+    assert server.leaving_statement or server.pause
+    assert server.second_answers is None
+    for task in injected:
+        task.cancel()
+    await asyncio.gather(*injected, return_exceptions=True)
+
+
 class RecordingProcess(ManagedProcess):
     """Process that records the process id of each start."""
 
