Let the stand-in of basilwick serve's servers cut off a second answer

No test of basilwick serve sent a part of a second answer before the answer to the next request. The stand-in can now send the first bytes of a second answer, with status 500, before its next answer on the connection.

--- a/basilwick/fakes/backend.py
+++ b/basilwick/fakes/backend.py
@@ -9,6 +9,7 @@
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 from uuid import uuid4
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 from attrs import asdict, define, evolve, field, fields_dict
@@ -47,6 +48,9 @@
         Age of the values that ``/load`` reports, in seconds.
     load_report : dict, optional
         Values that ``/load`` reports instead of the measured ones.
+    cut_answer_bytes : int
+        Bytes of a second answer to each request, with status 500, that the server
+        sends before its answer to the next request on the connection; 0 for none.
     """
 
     slowdown: float = 1.0
@@ -55,6 +59,7 @@
     shedding: float = 0.0
     load_lag_s: float = 0.0
     load_report: dict[str, Any] | None = None
+    cut_answer_bytes: int = 0
 
 
 class _LimitingProtocol(asyncio.Protocol):
@@ -126,6 +131,10 @@
     _clock_start: float = 0.0
     _server: asyncio.Server | None = None
     _runner: web.AppRunner | None = None
+    #: Identity of the last attempt that each connection carried.
+    _last_attempts: WeakKeyDictionary[asyncio.BaseTransport, str] = field(
+        factory=WeakKeyDictionary
+    )
 
     def __attrs_post_init__(self) -> None:
         self.record = RunRecord(self.name, self.runs_path)
@@ -210,6 +219,7 @@
         await self._wait_while_frozen()
         arrived_at = monotonic()
         headers = {"Basilwick-Attempt": request.headers.get("Basilwick-Attempt", "")}
+        self._write_cut_answer(request)
         try:
             parsed = parse_request(request, arrived_at)
             self._check_admission(parsed)
@@ -236,6 +246,18 @@
         }
         return _respond(answer, headers=headers)
 
+    def _write_cut_answer(self, request: web.Request) -> None:
+        """Send the start of a second answer to the connection's last request."""
+        transport = request.transport
+        if transport is None:
+            return
+        last = self._last_attempts.get(transport)
+        if last is not None:
+            head = f"HTTP/1.1 500 Late\r\nBasilwick-Attempt: {last}\r\n\r\n"
+            transport.write(head.encode()[: self.faults.cut_answer_bytes])
+        attempt = request.headers.get("Basilwick-Attempt", "")
+        self._last_attempts[transport] = attempt
+
     def _check_admission(self, parsed: ParsedRequest) -> None:
         if self.faults.draining:
             raise RefusedError(503, "draining")
