Reserve both internal ports of a soak's instances

The soak reserved one internal port for each instance and used the one behind it without checking it. Which process used that port is not known; other tests were running.

allocate_port_pair returns two ports that are free and follow each other.

--- a/basilwick/testing.py
+++ b/basilwick/testing.py
@@ -31,6 +31,7 @@
     "find_overlapping_owners",
     "find_repeated_runs",
     "run_processes",
+    "allocate_port_pair",
     "allocate_ports",
     "wait_for_port",
     "write_settings",
@@ -51,20 +52,37 @@
     """
     ports: list[int] = []
     while len(ports) < count:
-        port = _PORT_RNG.randrange(*_PORT_RANGE)
-        if port in _allocated_ports:
-            continue
-        with socket(AF_INET, SOCK_STREAM) as sock:
-            sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _allocated_ports.add(port)
-        ports.append(port)
+        ports += _reserve_ports(1)
+    return ports
+
+
+def allocate_port_pair() -> tuple[int, int]:
+    """Return two ports of 127.0.0.1 that are free now and follow each other."""
+    while not (pair := _reserve_ports(2)):
+        pass
+    return pair[0], pair[1]
+
+
+def _reserve_ports(count: int) -> list[int]:
+    """Return ports that follow a random one, empty if one of them is in use."""
+    first = _PORT_RNG.randrange(*_PORT_RANGE)
+    ports = list(range(first, first + count))
+    if not _allocated_ports.isdisjoint(ports) or not all(map(_is_free, ports)):
+        return []
+    _allocated_ports.update(ports)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket(AF_INET, SOCK_STREAM) as sock:
+        sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 async def wait_for_port(port: int, timeout_s: float = 15.0) -> None:
     """Wait until a process accepts connections on a port of 127.0.0.1.
 
--- a/benchmarks/soak/site.py
+++ b/benchmarks/soak/site.py
@@ -10,7 +10,7 @@
 from basilwick.fakes.key_server import KeyServer, Run
 from basilwick.fakes.kv_service import KvService
 from basilwick.fakes.proxy import FaultProxy
-from basilwick.testing import allocate_ports
+from basilwick.testing import allocate_port_pair, allocate_ports
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -216,15 +216,15 @@
         return frozenset(s.name for s in servers if s.partitioned and s.holds(key))
 
     async def _add_instance(self, index: int) -> None:
-        caller, ready, internal_port, _ = allocate_ports(4)
-        # The second internal port follows the first one.
+        caller, ready = allocate_ports(2)
+        internal_ports = allocate_port_pair()
         proxy = FaultProxy(self.store.address)
         await proxy.start()
         name = f"i{index}"
         path = self.directory / f"{name}.toml"
         path.write_text(
             _write_settings(
-                name, DATA_CENTRES[index % 2], caller, ready, internal_port, proxy
+                name, DATA_CENTRES[index % 2], caller, ready, internal_ports, proxy
             )
         )
         process = await self.group.start("join", "--settings", path)
@@ -238,7 +238,7 @@
     data_centre: str,
     caller: int,
     ready: int,
-    internal_port: int,
+    internal_ports: tuple[int, int],
     proxy: FaultProxy,
 ) -> str:
     zones = "\n".join(f'{zone} = "region"' for zone in DATA_CENTRES)
@@ -248,7 +248,7 @@
 zone = "{data_centre}"
 ipAddress = "127.0.0.1"
 [network]
-internalPortRange = [{internal_port}, {internal_port + 1}]
+internalPortRange = [{internal_ports[0]}, {internal_ports[1]}]
 [network.listenAddresses]
 frontendAddress = "127.0.0.1:{caller}"
 ready = "127.0.0.1:{ready}"
