Take missing ranges for a first start only before any return

Cause: without a stored era, a leader decided by whether its own process had seen the era change. A process that started after the return had not, took the missing ranges for those of a first start, and granted all keys while the grants of the lost leader held. The same held for ranges stored without an era.

The era tells of returns before the process started too: a service that was never restored has era 1, or 0 without eras. A first start does not wait; a service that is partitioned for the first time after a return does.

--- a/basilwick/core/ranges/takeover.py
+++ b/basilwick/core/ranges/takeover.py
@@ -15,7 +15,35 @@
     from basilwick.core.ranges.table import KeyRange, RangeTable
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["initialize_takeover", "reset_restarted_owner", "suspect_other_leader"]
+__all__ = [
+    "initialize_takeover",
+    "may_lack_changes",
+    "reset_restarted_owner",
+    "suspect_other_leader",
+]
+
+
+def may_lack_changes(stored_era: int | None, era: int, may_be_restored: bool) -> bool:
+    """Return whether changes of the ranges that a new leader reads may be lost.
+
+    Ranges that the service lacks, and ranges without an era, can be from before any of
+    its returns from a copy. That there are none shows a first start, after which no
+    other leader's grants are in force, only if the service was never restored.
+
+    Parameters
+    ----------
+    stored_era : int or None
+        Era in which the ranges were certainly complete; None if there are none, or if
+        they were stored without an era.
+    era : int
+        Present era of the service.
+    may_be_restored : bool
+        Whether the service may ever have been restored, also before this process
+        started.
+    """
+    if stored_era is None:
+        return may_be_restored
+    return stored_era < era
 
 
 def initialize_takeover(
--- a/basilwick/platform/key_value_store.py
+++ b/basilwick/platform/key_value_store.py
@@ -64,6 +64,8 @@
 #: Bits of a revision below the era. The service's own revisions are far smaller.
 _REVISION_BITS = 40
 _MAX_ERA = 1 << 22
+#: Era of a service that was never restored; a service without eras has era 0.
+_FIRST_ERA = 1
 
 
 class RevisionCompactedError(Exception):
@@ -151,9 +153,11 @@
     def __init__(self, address: str, registry: CollectorRegistry):
         self._base = f"http://{address}"
         self._session: ClientSession | None = None
-        #: Era of the first and of the latest response; None before the first one.
-        self.first_era: int | None = None
+        #: Era of the latest response; None before the first one.
         self.era: int | None = None
+        #: Whether the service may ever have been restored from a copy. The era tells
+        #: that also of returns before the first response.
+        self.may_be_restored = False
         self._calls = Counter(
             "basilwick_store_calls",
             "Calls to the platform's key-value service by cause and result.",
@@ -391,9 +395,9 @@
                 f"{_ERA_FIELD} is {field!r}; it must be at least {self.era or 0}, the "
                 f"era of an earlier response, and below {_MAX_ERA}"
             )
-        if self.era is None:
-            self.first_era = era
-        elif era > self.era:
+        if era > (_FIRST_ERA if self.era is None else self.era):
+            self.may_be_restored = True
+        if self.era is not None and era > self.era:
             logger.bind(era=era, former=self.era).warning(
                 "the platform's service was restored from a copy"
             )
--- a/basilwick/runtime/fleet/range_manager.py
+++ b/basilwick/runtime/fleet/range_manager.py
@@ -24,6 +24,7 @@
     ReleaseOrder,
 )
 from basilwick.core.ranges.table import RangeTable
+from basilwick.core.ranges.takeover import may_lack_changes
 from basilwick.platform.http_messages import encode_grant, encode_release
 from basilwick.platform.key_value_store import WriteResult
 from basilwick.runtime.fleet.stored_ranges import (
@@ -170,7 +171,7 @@
             self._revision = item.revision
         self._era = self._first_era = self._store.era
         self._former_writer_id = stored.writer
-        outdated = self._is_outdated(stored)
+        outdated = may_lack_changes(stored.era, self._era, self._store.may_be_restored)
         self._certain_era = (stored.era or 0) if outdated else self._era
         first_fence = max(1, stored.reserved_end)
         if outdated:
@@ -204,16 +205,6 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _is_outdated(self, stored: StoredRanges) -> bool:
-        """Return whether changes of the stored ranges may be lost.
-
-        Without an era in the stored value, only a return of the service that this
-        instance has seen is known.
-        """
-        if stored.era is None:
-            return self._store.first_era != self._era
-        return stored.era < self._era
-
     def tick(self) -> None:
         """Send the orders that are due and store changed ranges."""
         controller = self.controller
--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -209,5 +209,25 @@
         await list_at(*restored, era, 901)
 
 
+@pytest.mark.parametrize(
+    ("eras", "expected"),
+    [
+        ([None], False),
+        (["0"], False),
+        (["1", "1"], False),
+        (["0", "1"], True),
+        (["1", "2"], True),
+        (["2"], True),
+    ],
+)
+async def test_a_return_before_the_start_of_the_process_is_known(
+    restored, eras, expected
+):
+    """A new process took a service that had lost its items for a new one."""
+    for era in eras:
+        await list_at(*restored, era, 900)
+    assert restored[1].may_be_restored is expected
+
+
 async def test_a_service_without_eras_has_plain_revisions(restored):
     assert await list_at(*restored, None, 900) == 900
--- a/tests/runtime/fleet/test_range_manager.py
+++ b/tests/runtime/fleet/test_range_manager.py
@@ -10,7 +10,7 @@
 
 from basilwick.core.errors import PlatformUnavailableError
 from basilwick.core.ranges.orders import OwnershipTimings
-from basilwick.core.ranges.table import StoredRange
+from basilwick.core.ranges.table import Phase, StoredRange
 from basilwick.platform.key_value_store import Item, WriteResult
 from basilwick.runtime.fleet.range_manager import DeposedError, RangeManager
 from basilwick.runtime.fleet.stored_ranges import decode_ranges
@@ -19,7 +19,8 @@
 class RacingStore:
     """Store that lets all leaders read the ranges before any of them writes."""
 
-    era = first_era = 0
+    era = 0
+    may_be_restored = False
 
     def __init__(self, readers):
         self.item = None
@@ -61,7 +62,8 @@
 class DelayedWriteStore:
     """Store that can apply a write late, after reporting that it got no answer."""
 
-    era = first_era = 0
+    era = 0
+    may_be_restored = False
 
     def __init__(self):
         self.item = None
@@ -131,3 +133,46 @@
     await asyncio.gather(*manager._tasks)
     stored = decode_ranges(store.item.value)
     assert fences.end == stored.reserved_end > first_end
+
+
+class RestoredStore(DelayedWriteStore):
+    """Store without ranges, as a process finds it that starts in a given era."""
+
+    def __init__(self, era):
+        super().__init__()
+        self.era = era
+        self.may_be_restored = era > 1
+
+
+async def start_without_ranges(era):
+    """Return the manager of a leader that finds no stored ranges."""
+    manager = RangeManager(
+        SimpleNamespace(service="maps"),
+        None,
+        RestoredStore(era),
+        None,
+        OwnershipTimings(),
+        monotonic,
+        None,
+    )
+    await manager.start()
+    return manager
+
+
+async def test_a_process_that_starts_after_a_return_takes_no_lost_ranges_for_none():
+    """It granted all keys anew, with the first fences, while lost grants held."""
+    manager = await start_without_ranges(era=2)
+    manager.controller.assign_unowned(["m0"], monotonic())
+    assert [r.phase for r in manager.controller.table.ranges] == [Phase.UNOWNED]
+    assert manager.controller.fences.next_fence >= 2 << 32
+    assert decode_ranges(manager._store.item.value).era == 0
+
+
+@pytest.mark.parametrize("era", [0, 1])
+async def test_a_first_start_grants_keys_at_once(era):
+    """A service without eras states 0, and one that was never restored 1."""
+    manager = await start_without_ranges(era)
+    manager.controller.assign_unowned(["m0"], monotonic())
+    assert [r.phase for r in manager.controller.table.ranges] == [Phase.STORING]
+    assert manager.controller.fences.next_fence == 1
+    assert decode_ranges(manager._store.item.value).era == era
--- a/tests/runtime/fleet/test_restored_store.py
+++ b/tests/runtime/fleet/test_restored_store.py
@@ -230,3 +230,28 @@
     await put_raw(site.store, "basilwick/leader", value)
     site.store.down = False
     await wait_until(lambda: not leader._election.leading, 4.0)
+
+
+async def test_ranges_that_the_copy_lacks_are_not_taken_for_a_first_start(site):
+    """New processes granted all keys anew while grants of the lost time held."""
+    await wait_for_leader(site)
+    # The next leader divides the keys among more servers.
+    await site.add_server("map3", "maps", partitioned=True)
+    site.store.take_copy()
+    copied = site.store._copy.entries
+    for key in [key for key in copied if key.startswith("basilwick/")]:
+        del copied[key]
+    for instance in site.instances:
+        await site.kill(instance)
+    site.instances.clear()
+    await lose_writes(site, 0.1)
+    keys = range(0, 65_536, 2048)
+    held = {key: list_holders(site, key) for key in keys}
+    assert all(held.values())
+    for name in ("j0", "j1"):
+        await site.add_instance(name)
+    ends_at = asyncio.get_running_loop().time() + 5.0
+    while asyncio.get_running_loop().time() < ends_at:
+        assert all(len(list_holders(site, key)) <= 1 for key in keys)
+        await asyncio.sleep(0.02)
+    await wait_until(lambda: all(list_holders(site, key) for key in keys), 14.0)
