Check schedules of leaders and a store that returns from copies

The model of the ownership protocol did not find the leader that takes lost ranges for a first start: its store held ranges from the beginning, a takeover was one step, and its revisions were never given out again.

The store is a model of its own now (store_model): it begins empty, gives revisions out again after a return, and carries lost writes out late if their condition still holds. Unowned keys are divided among 1, 2 or 4 servers in the model, since it counts whole blocks.

--- a/tests/core/ranges/ownership_model.py
+++ b/tests/core/ranges/ownership_model.py
@@ -3,12 +3,13 @@
 Keys are grouped into blocks, and each move covers whole blocks. Servers keep fences and
 grants as the platform's servers do, and lose both when they restart. An order can be
 lost or carried out late, and its answer can be lost. Two leaders may reach different
-servers. The store can be put back to a copy, which raises its era.
+servers. The store can be put back to a copy, and each leader is a process of its own.
 """
 
 from __future__ import annotations
 
-from attrs import define, evolve, field
+from attrs import define, field
+from store_model import ModelStore, StoredValue
 
 from basilwick.core.ranges.controller import RangeController
 from basilwick.core.ranges.orders import (
@@ -19,6 +20,7 @@
 )
 from basilwick.core.ranges.placement import Move
 from basilwick.core.ranges.table import KEY_COUNT, RangeTable
+from basilwick.core.ranges.takeover import may_lack_changes
 
 BLOCKS = 8
 BLOCK_KEYS = KEY_COUNT // BLOCKS
@@ -77,18 +79,41 @@
 
 @define(eq=False)
 class ModelLeader:
-    """A leader with its own controller and its own view of the site."""
+    """A leader with its own controller and its own view of the site.
+
+    Attributes
+    ----------
+    read : StoredValue
+        Ranges that the leader read at its takeover.
+    revision, revision_era : int
+        Revision of the ranges as this leader knows it, and the era of that revision.
+    known_era : int
+        Era that the latest answer of the store stated.
+    term_era, uncertain : int and bool
+        Era in which the leader is known to lead, and whether another leader may have
+        led in time that is lost.
+    era, certain_era : int
+        Era that the leader's ranges allow for, and in which they are complete.
+    first_era : int
+        Era at the takeover.
+    controller : RangeController or None
+        None until the takeover is written.
+    """
 
     name: int
-    controller: RangeController
-    revision: int
+    read: StoredValue
+    taken_over_at: float
     lease_renewed_at: float
-    #: Era in which the leader is known to lead, and in which its ranges are complete.
+    revision: int
+    known_era: int
+    term_era: int
+    first_era: int
     era: int
+    revision_era: int
     certain_era: int
-    reserved_end: int
-    first_era: int
-    former_writer: ModelLeader | None
+    uncertain: bool = False
+    reserved_end: int = 0
+    controller: RangeController | None = None
     pending_store: list | None = None
     store_reachable: bool = True
     alive: bool = True
@@ -100,6 +125,10 @@
     #: For each server, the value of `starts` that this leader knows.
     starts: dict[str, int] = field(factory=dict)
 
+    @property
+    def running(self):
+        return self.alive and self.controller is not None
+
     def may_write(self, order, lease_s, now):
         """Return whether an order may still be written, by the runtime's rules."""
         lease_free = isinstance(order, GrantOrder) and order.requires_same_process
@@ -124,30 +153,6 @@
                 self.controller.handle_server_restart(server.name, now)
 
 
-@define
-class StoreState:
-    """What the store holds; a copy of it can be restored.
-
-    Attributes
-    ----------
-    ranges : list of StoredRange
-    certain_era : int
-        Era in which the ranges were complete, as their writer knew.
-    reserved_end : int
-        Exclusive end of the reserved fences.
-    writer : ModelLeader
-        Leader that stored the ranges.
-    lease_holder : ModelLeader
-        Leader that the leader record names.
-    """
-
-    ranges: list = field(factory=list)
-    certain_era: int = 0
-    reserved_end: int = 1
-    writer: ModelLeader | None = None
-    lease_holder: ModelLeader | None = None
-
-
 @define(eq=False)
 class SiteModel:
     """The whole site; `now` is the local time of all leaders."""
@@ -155,10 +160,9 @@
     servers: dict[str, ModelServer]
     times: OwnershipTimings = field(factory=OwnershipTimings)
     now: float = 100.0
-    state: StoreState = field(factory=StoreState)
-    copy: StoreState = field(factory=StoreState)
-    era: int = 0
-    revision: int = 0
+    service: ModelStore = field(factory=ModelStore)
+    #: Whether a process knows that the store was restored before it started.
+    knows_earlier_returns: bool = True
     leaders: list[ModelLeader] = field(factory=list)
     lease_until: float = 0.0
     in_flight: list[InFlightOrder] = field(factory=list)
@@ -177,9 +181,19 @@
                 return name
         return None
 
+    def list_new_owners(self):
+        """Return servers among which whole blocks can be divided evenly."""
+        registered = [s for s in self.servers if self.may_own(s)]
+        count = next(n for n in (4, 2, 1, 0) if n <= len(registered))
+        return registered[:count]
+
+    @property
+    def state(self):
+        return self.service.state
+
     @property
     def stored(self):
-        return self.state.ranges
+        return self.state.value.ranges if self.state.value else ()
 
     @property
     def lease_holder(self):
@@ -188,77 +202,97 @@
     # Actions
 
     def take_copy(self):
-        self.copy = evolve(self.state)
+        self.service.take_copy()
 
     def restore(self):
         """Put the store back to its copy; the copied lease begins anew."""
-        self.state = evolve(self.copy)
-        self.era += 1
-        self.revision += 1
+        self.service.restore()
         self.lease_until = self.now + self.times.lease_s
 
     def take_over(self):
         """Start a new leader if the lease has expired or its holder is dead."""
+        leader = self.begin_take_over()
+        if leader is not None:
+            self.finish_take_over(leader)
+
+    def begin_take_over(self):
+        """Become the leader and read the ranges; returns None if another one leads."""
         lease_holder = self.lease_holder
         if (
             lease_holder is not None
             and lease_holder.alive
             and self.now < self.lease_until
         ):
-            return
-        outdated = self.state.certain_era < self.era
-        first_fence = self.state.reserved_end
-        if outdated:
-            first_fence = max(first_fence, self.era * FENCES_PER_ERA)
-        fences = FenceReservation(first_fence, first_fence + RESERVED_FENCES)
-        self.state.reserved_end = fences.end
-        self.revision += 1
+            return None
+        value = self.state.value or StoredValue()
+        era = self.service.era
+        may_be_restored = self.knows_earlier_returns and era > 0
+        outdated = may_lack_changes(value.certain_era, era, may_be_restored)
         leader = ModelLeader(
             len(self.leaders),
-            RangeController(
-                "service",
-                RangeTable.restore(self.stored),
-                fences,
-                self.times,
-                self,
-                self.now,
-            ),
-            self.revision,
+            value,
+            self.now,
             self.now,
-            self.era,
-            self.state.certain_era if outdated else self.era,
-            fences.end,
-            self.era,
-            self.state.writer,
+            self.state.revision,
+            known_era=era,
+            term_era=era,
+            first_era=era,
+            era=era,
+            revision_era=era,
+            certain_era=(value.certain_era or 0) if outdated else era,
         )
-        if outdated:
-            leader.controller.suspect_other_leader(self.now)
-        leader.note_restarts(self.servers.values(), self.now)
         self.leaders.append(leader)
-        self.state.lease_holder = self.state.writer = leader
+        self.state.lease_holder = leader
         self.lease_until = self.now + self.times.lease_s
+        return leader
+
+    def finish_take_over(self, leader):
+        """Write the reservation of a leader that has read the ranges, and start it."""
+        if not leader.alive or leader.controller is not None:
+            return
+        outdated = leader.certain_era < leader.era
+        first_fence = leader.read.reserved_end
+        if outdated:
+            first_fence = max(first_fence, leader.era * FENCES_PER_ERA)
+        leader.reserved_end = first_fence + RESERVED_FENCES
+        # A leader that can't write begins its takeover anew.
+        if not leader.store_reachable or not self.write(leader, leader.read.ranges):
+            leader.alive = False
+            return
+        leader.controller = RangeController(
+            "service",
+            RangeTable.restore(leader.read.ranges),
+            FenceReservation(first_fence, leader.reserved_end),
+            self.times,
+            self,
+            leader.taken_over_at,
+        )
+        if outdated:
+            leader.controller.suspect_other_leader(leader.taken_over_at)
+        leader.note_restarts(self.servers.values(), self.now)
 
     def renew(self, leader):
         if not leader.alive or not leader.store_reachable:
             return
+        leader.known_era = self.service.era
         if leader is not self.lease_holder and self.may_regain(leader):
             self.state.lease_holder = leader
             self.lease_until = self.now + self.times.lease_s
             self.continue_in_era(leader, certain=False)
-            if leader.alive:
-                leader.lease_renewed_at = self.now
             return
         if leader is not self.lease_holder or self.now >= self.lease_until:
             return
         self.lease_until = self.now + self.times.lease_s
-        if leader.era != self.era:
+        if leader.term_era != self.service.era:
             self.continue_in_era(leader)
-        leader.lease_renewed_at = self.now
+        elif leader.alive:
+            leader.lease_renewed_at = self.now
 
     def may_regain(self, leader):
         """Return whether the store's copy has only the record of an earlier leader."""
         holder = self.lease_holder
-        return leader.era < self.era and (holder is None or holder.name < leader.name)
+        returned = leader.term_era < self.service.era
+        return returned and (holder is None or holder.name < leader.name)
 
     def continue_in_era(self, leader, certain=True):
         """Let a leader go on after the store was restored, as the runtime does."""
@@ -266,10 +300,15 @@
         if age >= self.times.autonomy_s:
             leader.alive = False
             return
-        leader.era = self.era
-        if age >= self.times.lease_s or not certain:
+        leader.term_era = self.service.era
+        leader.uncertain = age >= self.times.lease_s or not certain
+        leader.lease_renewed_at = self.now
+
+    def handle_restore(self, leader):
+        leader.era = leader.term_era
+        if leader.uncertain:
             leader.controller.suspect_other_leader(self.now)
-        first_fence = max(leader.reserved_end, self.era * FENCES_PER_ERA)
+        first_fence = max(leader.reserved_end, leader.era * FENCES_PER_ERA)
         leader.reserved_end = first_fence + RESERVED_FENCES
         leader.controller.fences = FenceReservation(first_fence, first_fence)
         leader.controller.dirty = True
@@ -277,18 +316,18 @@
     def tick(self, leader):
         """Advance a leader's controller as the runtime does."""
         age = self.now - leader.lease_renewed_at
-        if not leader.alive or age >= self.times.autonomy_s:
+        if not leader.running or age >= self.times.autonomy_s:
             return
         holds_lease = age < self.times.lease_s - LEASE_MARGIN_S
         controller = leader.controller
+        if leader.term_era > leader.era:
+            self.handle_restore(leader)
         if leader.certain_era != leader.era and controller.certain:
             leader.certain_era = leader.era
             controller.dirty = True
         if leader.store_reachable:
             leader.note_restarts(self.servers.values(), self.now)
-        controller.assign_unowned(
-            [s for s in self.servers if self.may_own(s)], self.now
-        )
+        controller.assign_unowned(self.list_new_owners(), self.now)
         for order in controller.tick(self.now, holds_lease):
             self.in_flight.append(InFlightOrder(leader, order, self.now))
         stored = controller.begin_store()
@@ -296,38 +335,75 @@
             leader.pending_store = stored
 
     def store(self, leader, answered=True):
-        """Carry out a leader's pending write."""
-        if not leader.alive or leader.pending_store is None:
+        """Carry out a leader's pending write; without an answer the leader ends."""
+        if not leader.running or leader.pending_store is None:
             return
-        if not leader.store_reachable:
-            leader.pending_store = None
+        stored, leader.pending_store = leader.pending_store, None
+        reserved_end = leader.reserved_end
+        if not leader.store_reachable or not self.write(leader, stored):
             leader.controller.finish_store(False, self.now)
             return
-        stored, leader.pending_store = leader.pending_store, None
-        if leader.revision != self.revision:
-            is_copied = (
-                self.state.writer is leader.former_writer
-                and leader.era > leader.first_era
-            )
-            if self.state.writer is not leader and not is_copied:
-                leader.alive = False
-                return
-        self.revision += 1
-        self.state.ranges = stored
-        self.state.certain_era = leader.certain_era
-        self.state.reserved_end = leader.reserved_end
-        self.state.writer = leader
-        leader.revision = self.revision
         if answered:
             fences = leader.controller.fences
-            fences.end = max(fences.end, leader.reserved_end)
+            fences.end = max(fences.end, reserved_end)
             leader.controller.finish_store(True, self.now)
         else:
             leader.alive = False
 
+    def lose_store(self, leader, late):
+        """Lose the answer to a leader's pending write, or the write until later."""
+        if not leader.running or leader.pending_store is None:
+            return
+        stored, leader.pending_store = leader.pending_store, None
+        # A condition of an earlier era than the known one is never sent.
+        if leader.revision_era == leader.known_era or not leader.revision:
+            value = self.make_value(leader, stored)
+            if late:
+                self.service.late_writes.append((value, leader.revision))
+            else:
+                self.service.write(value, leader.revision)
+        leader.controller.finish_store(False, self.now)
+
+    def make_value(self, leader, ranges):
+        return StoredValue(
+            tuple(ranges), leader.certain_era, leader.reserved_end, leader
+        )
+
+    def write(self, leader, ranges):
+        """Write ranges as the runtime does; returns whether they are stored.
+
+        A leader that finds the value of another one ends.
+        """
+        value = self.make_value(leader, ranges)
+        service = self.service
+        for _ in range(3):
+            unsent = leader.revision and leader.revision_era != leader.known_era
+            written = not unsent and service.write(value, leader.revision)
+            answered = service.era == leader.known_era
+            leader.known_era = service.era
+            stored = service.state.value
+            if written or (answered and stored is value):
+                leader.revision = service.state.revision
+                leader.revision_era = service.era
+                return True
+            if not answered and not unsent:
+                return False
+            restored = leader.term_era > leader.first_era
+            is_copied = (
+                restored and stored is not None and stored.writer is leader.read.writer
+            )
+            if stored is None and restored:
+                leader.revision = 0
+                continue
+            if stored is None or not (stored.writer is leader or is_copied):
+                leader.alive = False
+                return False
+            leader.revision, leader.revision_era = service.state.revision, service.era
+        return False
+
     def move(self, leader, block, server):
         age = self.now - leader.lease_renewed_at
-        if leader.alive and age < self.times.lease_s - LEASE_MARGIN_S:
+        if leader.running and age < self.times.lease_s - LEASE_MARGIN_S:
             first = block * BLOCK_KEYS
             move = Move(first, first + BLOCK_KEYS - 1, server)
             leader.controller.move([move], self.now)
