--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -231,3 +231,30 @@
 
 async def test_a_service_without_eras_has_plain_revisions(restored):
     assert await list_at(*restored, None, 900) == 900
+
+
+async def test_a_second_answer_of_the_service_is_not_taken_for_the_next_one():
+    """A write that the service refused counted as done."""
+    done = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"revision":1}'
+    refused = b"HTTP/1.1 412 Failed\r\nContent-Length: 0\r\n\r\n"
+
+    async def answer(reader, writer):
+        for number in range(2):
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+            writer.write(refused if number else done)
+            if not number:
+                await asyncio.sleep(0.02)
+                writer.write(done)
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    store = KeyValueStore(address, CollectorRegistry())
+    await store.start()
+    assert (await store.write("a", b"v", 0, "test"))[0] is WriteResult.DONE
+    await asyncio.sleep(0.1)
+    result, _ = await store.write("b", b"v", 0, "test")
+    await store.close()
+    server.close()
+    assert result is not WriteResult.DONE
--- a/tests/runtime/fleet/test_order_sends.py
+++ b/tests/runtime/fleet/test_order_sends.py
@@ -316,3 +316,15 @@
     assert site.range.serving_until > site.clock.now + 1.0
     owner = site.manager.controller.find_owner("maps", 0, site.clock.now)
     assert owner.server == "s0"
+
+
+async def test_a_second_answer_to_a_grant_is_not_taken_for_that_of_a_renewal(site):
+    """A renewal that the server refused counted as accepted."""
+    site.manager.tick()
+    await site.wait_for_orders()
+    served_until = site.range.serving_until
+    site.answer = OK + b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+    site.clock.now += site.timings.renewal_interval_s
+    site.manager.tick()
+    await site.wait_for_orders()
+    assert site.range.serving_until <= served_until
