--- a/tests/runtime/fleet/test_absurd_numbers.py
+++ b/tests/runtime/fleet/test_absurd_numbers.py
@@ -6,8 +6,6 @@
 from io import BytesIO
 
 import pytest
-import pytest_asyncio
-from fleet_site import FleetSite
 from orjson import loads
 
 from basilwick.logs import close_logs, configure_logs
@@ -18,16 +16,6 @@
 PASSED = ["-1e30", "-1", "0", "10", "10.1", "10.2", "11"]
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 @pytest.fixture
 def log():
     stream = BytesIO()
--- a/tests/runtime/fleet/test_connection_ownership.py
+++ b/tests/runtime/fleet/test_connection_ownership.py
@@ -6,9 +6,8 @@
 from random import Random
 
 import pytest
-import pytest_asyncio
 from aiohttp import ClientError
-from fleet_site import FleetSite, wait_until
+from fleet_site import wait_until
 
 from basilwick.fakes.second_answers import SecondAnswers
 from basilwick.fakes.streamed_bodies import StreamedBody
@@ -22,16 +21,6 @@
 SETTLED_S = 1.0
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 def list_pools(site):
     """Return the connection pools of all instances, by address."""
     clients = [
--- a/tests/runtime/fleet/test_failures_of_servers.py
+++ b/tests/runtime/fleet/test_failures_of_servers.py
@@ -3,23 +3,11 @@
 from __future__ import annotations
 
 import pytest
-import pytest_asyncio
-from fleet_site import FleetSite
 
 #: Statuses that promise a caller that its request has not run and never will.
 PROMISES = (503, 429, 408)
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 def fail_all(site, status):
     """Make all servers run requests and answer them with a status."""
     for server in site.servers:
--- a/tests/runtime/fleet/test_fleet.py
+++ b/tests/runtime/fleet/test_fleet.py
@@ -6,23 +6,12 @@
 from collections import Counter
 
 import pytest
-import pytest_asyncio
 from aiohttp import ClientError
-from fleet_site import ORDER, FleetSite, make_configuration, wait_until
+from fleet_site import ORDER, make_configuration, wait_until
 
 from basilwick.core.errors import PlatformUnavailableError
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 async def test_reads_go_to_the_owner_of_their_key(site):
     """Each key has one owner, which serves it through every instance."""
     for key in (0, 30_000, 65_535):
--- a/tests/runtime/fleet/test_graceful_stops.py
+++ b/tests/runtime/fleet/test_graceful_stops.py
@@ -4,18 +4,7 @@
 
 import asyncio
 
-import pytest_asyncio
-from fleet_site import FleetSite, wait_until
-
-
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
+from fleet_site import wait_until
 
 
 async def test_a_stopping_instance_is_not_ready_and_finishes_its_requests(site):
--- a/tests/runtime/fleet/test_odd_entries.py
+++ b/tests/runtime/fleet/test_odd_entries.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import pytest_asyncio
-from fleet_site import FleetSite, make_configuration, wait_until
+from fleet_site import make_configuration, wait_until
 from orjson import dumps
 
 REGISTRATION = {
@@ -36,16 +35,6 @@
 }
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 async def put_raw(store, key, value):
     """Write bytes that need not be JSON."""
     store._revision += 1
--- a/tests/runtime/fleet/test_refusals.py
+++ b/tests/runtime/fleet/test_refusals.py
@@ -4,22 +4,11 @@
 
 import asyncio
 
-import pytest_asyncio
-from fleet_site import FleetSite, make_configuration, wait_until
+from fleet_site import make_configuration, wait_until
 
 REFUSALS = 300
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 def list_containers(instance):
     """Return what an instance holds for requests that have not ended."""
     runners = [instance._fallback]
--- a/tests/runtime/fleet/test_second_answers.py
+++ b/tests/runtime/fleet/test_second_answers.py
@@ -6,9 +6,8 @@
 from random import Random
 
 import pytest
-import pytest_asyncio
 from aiohttp import ClientError
-from fleet_site import HOST, ORDER, FleetSite
+from fleet_site import HOST, ORDER
 from multidict import CIMultiDict
 
 from basilwick.fakes.second_answers import SecondAnswers
@@ -18,16 +17,6 @@
 CONCURRENT_REQUESTS = 12
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 async def play(site, rng, **options):
     """Return the answers that no server gave first, as (kind, status, answers).
 
--- a/tests/runtime/fleet/test_unknown_routes.py
+++ b/tests/runtime/fleet/test_unknown_routes.py
@@ -4,19 +4,6 @@
 
 import asyncio
 
-import pytest_asyncio
-from fleet_site import FleetSite
-
-
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
 
 async def wait_for_status(site, index, status):
     async with asyncio.timeout(4.0):
--- a/tests/runtime/fleet/test_unread_answers.py
+++ b/tests/runtime/fleet/test_unread_answers.py
@@ -5,9 +5,8 @@
 import asyncio
 
 import pytest
-import pytest_asyncio
 from aiohttp import web
-from fleet_site import FleetSite, wait_until
+from fleet_site import wait_until
 
 from basilwick.fakes.key_server import KeyServer
 
@@ -16,16 +15,6 @@
 REQUESTS = 6
 
 
-@pytest_asyncio.fixture
-async def site():
-    site = FleetSite()
-    try:
-        await site.start()
-        yield site
-    finally:
-        await site.close()
-
-
 def answer_long(monkeypatch, status, **extra_fields):
     async def respond(server, request, headers, _):
         fields = {**headers, **extra_fields}
