--- a/basilwick/core/dispatch/site.py
+++ b/basilwick/core/dispatch/site.py
@@ -130,6 +130,13 @@
     routes: tuple[Route, ...]
     services: dict[ServiceName, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    #: Whether a route has large responses, so that bulk transfers compete with short
+    #: requests for the same servers.
+    has_bulk_routes: bool = field(init=False)
+
+    @has_bulk_routes.default
+    def _find_bulk_routes(self) -> bool:
+        return any(route.large_responses for route in self.routes)
 
 
 @frozen
@@ -197,6 +204,11 @@
     _platform_recovered_at: MonotonicSeconds = float("-inf")
     _statements: ServerStatements = field(factory=ServerStatements)
 
+    @property
+    def has_bulk_routes(self) -> bool:
+        """Whether a route of the configuration in force has large responses."""
+        return self.configuration is not None and self.configuration.has_bulk_routes
+
     def apply_configuration(self, configuration: SiteConfiguration) -> bool:
         """Apply a configuration if it is newer; returns whether it was."""
         current = self.configuration
--- a/tests/core/dispatch/test_site.py
+++ b/tests/core/dispatch/test_site.py
@@ -34,6 +34,17 @@
     assert view.configuration.version == 5
 
 
+def test_a_site_without_a_route_of_large_responses_has_no_bulk_routes():
+    view = SiteView()
+    assert not view.has_bulk_routes
+    short = make_route("/short/")
+    view.apply_configuration(SiteConfiguration(5, (short,), {}))
+    assert not view.has_bulk_routes
+    bulk = evolve(short, large_responses=True)
+    view.apply_configuration(SiteConfiguration(6, (short, bulk), {}))
+    assert view.has_bulk_routes
+
+
 def test_a_removed_server_is_gone_at_once():
     view = SiteView()
     view.apply_server(SERVER, 0.0)
