Keep the loads that servers state, and expect latencies by them

A server that takes three times as long for 0.4 s counted as slow for seconds: its latency followed the spell at once and returned only with later responses. Queues of its keys refused requests that it could have served in time.

The header X-Server-Load is read, travels in trailing fields of SendFinished, and is kept by server with its age. Latencies are divided by the stated slowdown, so ServerLoad.unloaded_latency_s hardly changes in a spell; the expected latency is that times the slowdown expected now. Figures that make no sense count as not given. Only sites with bulk routes decide by it and send the fields, and never to a leader with link version 1. The test of trailing values that a later build may send names the new fields before the unknown ones, since an unknown value can only follow all known ones.

--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -154,7 +154,7 @@
         service = self._get_service(pending.request.service)
         self._record_statements(pending, done, now)
         self._selector.get_load(pending.server).finish(
-            done.outcome, done.latency_s, now
+            done.outcome, done.latency_s, now, done.load_report
         )
         if done.outcome is SendOutcome.OK:
             mean_s = service.typical_latency_s
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -7,6 +7,8 @@
 
 from attrs import frozen
 
+from basilwick.core.dispatch.load_report import LoadReport, make_load_report
+
 __all__ = [
     "Assigned",
     "CancelRequest",
@@ -134,6 +136,9 @@
         Seconds for which the server states that it stays cold.
     leaving : bool
         Whether the server has stated that it leaves.
+    running, waiting, slots, slowdown_percent : int
+        Load that the server stated, as in `LoadReport`; -1 running if it stated none,
+        and a slowdown of 0 if it stated that not.
     """
 
     number: int
@@ -142,6 +147,19 @@
     rate_limit: float | None = None
     warm_up_left_s: float = 0.0
     leaving: bool = False
+    running: int = -1
+    waiting: int = 0
+    slots: int = 0
+    slowdown_percent: int = 0
+
+    @property
+    def load_report(self) -> LoadReport | None:
+        """Load that the server stated, None if it stated none."""
+        if self.running < 0:
+            return None
+        return make_load_report(
+            self.running, self.waiting, self.slots, self.slowdown_percent
+        )
 
 
 @frozen
--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -7,10 +7,12 @@
 
 from attrs import define, field
 
+from basilwick.core.dispatch.load_report import StatedLoad
 from basilwick.core.dispatch.messages import SendOutcome
 from basilwick.core.dispatch.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
+    from basilwick.core.dispatch.load_report import LoadReport
     from basilwick.core.types import MonotonicSeconds
 
 __all__ = ["ServerLoad"]
@@ -49,20 +51,28 @@
     steady_latency_s : float
         Moving average over a few seconds. Keys are placed by it, since a server that is
         slow for a short time has recovered before its keys have moved.
+    unloaded_latency_s : float
+        Moving average over a few seconds of the latency divided by the slowdown that
+        the server stated with it. 0 before the first response; equal to the steady
+        latency if no slowdown is stated.
     failure_ratio : float
         Moving average of the share of requests that failed.
     blocked_until : float
         Local time before which the server gets no requests.
     rate_bucket : TokenBucket
         Limits requests while the server is cold or states a rate limit.
+    stated : StatedLoad
+        What the server states about its load.
     """
 
     in_flight: int = 0
     mean_latency_s: float = 0.0
     steady_latency_s: float = 0.0
+    unloaded_latency_s: float = 0.0
     failure_ratio: float = 0.0
     blocked_until: MonotonicSeconds = 0.0
     rate_bucket: TokenBucket = field(factory=TokenBucket)
+    stated: StatedLoad = field(factory=StatedLoad)
     _sampled_at: MonotonicSeconds = float("-inf")
     _responded_at: MonotonicSeconds = float("-inf")
     _backoffs: int = 0
@@ -82,6 +92,49 @@
         weight = exp((self._sampled_at - now) / _LATENCY_DECAY_S)
         return typical_latency_s + weight * (self.mean_latency_s - typical_latency_s)
 
+    def estimate_stated_latency(
+        self, typical_latency_s: float, now: MonotonicSeconds
+    ) -> float:
+        """Return the expected latency in seconds, by the slowdown that is stated.
+
+        Parameters
+        ----------
+        typical_latency_s : float
+            Mean latency of the service in seconds.
+        """
+        if not self.stated.states_slowdown or not self.unloaded_latency_s:
+            return self.estimate_latency(typical_latency_s, now)
+        latency_s = self.unloaded_latency_s * self.stated.estimate_slowdown(now)
+        weight = exp((self._sampled_at - now) / _LATENCY_DECAY_S)
+        return typical_latency_s + weight * (latency_s - typical_latency_s)
+
+    def estimate_stated_cost(
+        self, typical_latency_s: float, slots: int, now: MonotonicSeconds
+    ) -> float:
+        """Return the cost in seconds of sending a request, by the stated load.
+
+        Requests that the server has no slot for wait there, so they add their time.
+        """
+        cost = self.estimate_stated_latency(typical_latency_s, now)
+        load = self.in_flight + self.stated.estimate_others(now)
+        excess = max(0.0, load + 1.0 - slots)
+        cost *= 1.0 + (0.25 * load + excess) / max(1, slots)
+        if now - self._sampled_at <= _FAILURE_WINDOW_S:
+            cost += self.failure_ratio * _FAILURE_COST_FACTOR * typical_latency_s
+        return cost
+
+    def record_report(
+        self, report: LoadReport, ran: bool, now: MonotonicSeconds
+    ) -> None:
+        """Record a stated load; the request of its response is no longer in flight.
+
+        Parameters
+        ----------
+        ran : bool
+            Whether the server ran that request.
+        """
+        self.stated.record(report, self.in_flight, ran, now)
+
     def estimate_cost(
         self, typical_latency_s: float, slots: int, now: MonotonicSeconds
     ) -> float:
@@ -93,10 +146,22 @@
         return cost
 
     def finish(
-        self, outcome: SendOutcome, latency_s: float, now: MonotonicSeconds
+        self,
+        outcome: SendOutcome,
+        latency_s: float,
+        now: MonotonicSeconds,
+        report: LoadReport | None = None,
     ) -> None:
-        """Free the slot of a request and update the averages by its outcome."""
+        """Free the slot of a request and update the averages by its outcome.
+
+        Parameters
+        ----------
+        report : LoadReport, optional
+            Load that the server stated in its response.
+        """
         self.in_flight = max(0, self.in_flight - 1)
+        if report is not None:
+            self.record_report(report, outcome is not SendOutcome.SHED, now)
         if outcome is SendOutcome.UNREACHABLE:
             self.rate_bucket.give_back()
         unresponsive = outcome is SendOutcome.TIMEOUT and self._was_unresponsive(
@@ -114,7 +179,8 @@
             self._back_off(now)
         elif outcome is SendOutcome.OK:
             self._backoffs = 0
-            self._record_latency(latency_s, now)
+            slowdown = None if report is None else report.slowdown
+            self._record_latency(latency_s, slowdown or 1.0, now)
 
     def _was_unresponsive(self, latency_s: float, now: MonotonicSeconds) -> bool:
         """Return whether the server answered no request while this one waited."""
@@ -122,14 +188,19 @@
             latency_s >= _UNREACHABLE_AFTER_S and self._responded_at < now - latency_s
         )
 
-    def _record_latency(self, latency_s: float, now: MonotonicSeconds) -> None:
+    def _record_latency(
+        self, latency_s: float, slowdown: float, now: MonotonicSeconds
+    ) -> None:
         if not self.mean_latency_s:
             self.mean_latency_s = self.steady_latency_s = latency_s
+            self.unloaded_latency_s = latency_s / slowdown
         elapsed_s = now - self._responded_at
         self._responded_at = now
         self.mean_latency_s += _SAMPLE_WEIGHT * (latency_s - self.mean_latency_s)
         weight = min(_SAMPLE_WEIGHT, 1.0 - exp(-elapsed_s / _STEADY_PERIOD_S))
         self.steady_latency_s += weight * (latency_s - self.steady_latency_s)
+        unloaded_s = latency_s / slowdown
+        self.unloaded_latency_s += weight * (unloaded_s - self.unloaded_latency_s)
 
     def _back_off(self, now: MonotonicSeconds) -> None:
         if now < self.blocked_until:
--- a/basilwick/core/dispatch/server_selector.py
+++ b/basilwick/core/dispatch/server_selector.py
@@ -131,13 +131,17 @@
         best_cost_s = float("inf")
         tried_servers = request.tried_servers if queue.owner is None else ()
         crossing_cost_s = request.size_bytes * _CROSS_DATA_CENTRE_S_PER_BYTE
+        by_reports = self._view.has_bulk_routes
         for candidate in self._list_candidates(queue, request):
             server, load, slots = candidate.server, candidate.load, candidate.slots
             if server.name in request.unwanted_servers:
                 continue
             if load.in_flight >= slots or now < load.blocked_until:
                 continue
-            cost_s = load.estimate_cost(typical_latency_s, slots, now)
+            if by_reports:
+                cost_s = load.estimate_stated_cost(typical_latency_s, slots, now)
+            else:
+                cost_s = load.estimate_cost(typical_latency_s, slots, now)
             if server.name in tried_servers:
                 cost_s += _TRIED_COST_FACTOR * typical_latency_s
             if server.data_centre != request.data_centre:
@@ -208,7 +212,10 @@
         """Return the expected latency of a queue's requests in seconds."""
         if queue.owner is None:
             return typical_latency_s
-        return self.get_load(queue.owner).estimate_latency(typical_latency_s, now)
+        load = self.get_load(queue.owner)
+        if self._view.has_bulk_routes:
+            return load.estimate_stated_latency(typical_latency_s, now)
+        return load.estimate_latency(typical_latency_s, now)
 
     def _has_token(self, candidate: _Candidate, now: MonotonicSeconds) -> bool:
         rate = self._get_max_rate(candidate.server.name, now)
--- a/basilwick/platform/http_messages.py
+++ b/basilwick/platform/http_messages.py
@@ -8,12 +8,14 @@
 from attrs import frozen
 from orjson import dumps
 
+from basilwick.core.dispatch.load_report import make_load_report
 from basilwick.core.dispatch.messages import UNLIMITED_RATE
 from basilwick.transport.exchange import encode_headers, is_hop_by_hop_field
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from basilwick.core.dispatch.load_report import LoadReport
     from basilwick.core.ranges.orders import GrantOrder, ReleaseOrder
 
 __all__ = [
@@ -34,6 +36,7 @@
 _WARM_UP_LEFT = b"x-warmup-remaining-ms"
 _RATE_LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+_LOAD = b"x-server-load"
 _RETRY_AFTER = b"retry-after"
 _HANDOVER_TOKEN = b"x-handover"
 _MS = 0.001
@@ -41,6 +44,10 @@
 #: Largest number of digits of a key, with leading zeros. Python refuses to convert
 #: texts of thousands of digits.
 _MAX_KEY_DIGITS = 20
+#: Figures of a stated load; later ones are left for extensions. Largest number of
+#: digits of each.
+_LOAD_FIGURES = 4
+_MAX_LOAD_DIGITS = 6
 #: Longest duration in seconds that makes sense; a longer one is a fault of its sender.
 _MAX_DURATION_S = 86_400.0
 
@@ -92,6 +99,8 @@
         longer than a day.
     identity_conflict : bool
         Whether the response gives identifiers that differ.
+    load : LoadReport or None
+        Load that the server states, None if not given or unreadable.
     """
 
     request_id: bytes
@@ -102,6 +111,7 @@
     leaving: bool = False
     retry_after_s: float = 0.0
     identity_conflict: bool = False
+    load: LoadReport | None = None
 
 
 def read_request_metadata(fields: Iterable[tuple[bytes, bytes]]) -> RequestMetadata:
@@ -161,6 +171,7 @@
         leaving,
         retry_after_s,
         identity_conflict,
+        _parse_load(values[_LOAD]) if _LOAD in values else None,
     )
 
 
@@ -246,6 +257,22 @@
     return min(rate_limit, upper_bound)
 
 
+def _parse_load(value: bytes) -> LoadReport | None:
+    """Return a stated load, None if a count is unreadable."""
+    figures = [_parse_figure(text) for text in value.split(b",", _LOAD_FIGURES)]
+    if len(figures) < _LOAD_FIGURES - 1:
+        return None
+    running, waiting, slots, *slowdown_percents = figures[:_LOAD_FIGURES]
+    return make_load_report(running, waiting, slots, *slowdown_percents)
+
+
+def _parse_figure(text: bytes) -> int:
+    """Return a number of few digits, -1 for any other text."""
+    digits = text.strip()
+    readable = digits.isdigit() and len(digits) <= _MAX_LOAD_DIGITS
+    return int(digits) if readable else -1
+
+
 def _parse_key(value: bytes, default: int) -> int:
     if not value.isdigit() or len(value) > _MAX_KEY_DIGITS:
         return default
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -342,8 +342,8 @@
     def finish(self, finished: SendFinished) -> None:
         """Report the outcome of a send."""
         if self._version < _STATEMENTS_VERSION:
-            finished = evolve(
-                finished, rate_limit=None, warm_up_left_s=0.0, leaving=False
+            finished = SendFinished(
+                finished.number, finished.outcome, finished.latency_s
             )
         if self._link is not None:
             self._link.send(finished)
--- a/basilwick/runtime/fleet/response_recorder.py
+++ b/basilwick/runtime/fleet/response_recorder.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
+from attrs import define, evolve
 
 from basilwick.core.dispatch.messages import UNLIMITED_RATE, SendFinished, SendOutcome
 from basilwick.logs import log_request_line
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from basilwick.core.dispatch.load_report import LoadReport
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.metrics import FleetMetrics
@@ -77,7 +78,7 @@
         rate_limit = _get_rate_limit(result)
         if rate_limit is not None:
             self._record_rate_limit(server, rate_limit, sent_at)
-        return SendFinished(
+        finished = SendFinished(
             number,
             _classify_response(result),
             latency_s,
@@ -85,6 +86,24 @@
             result.metadata.warm_up_left_s,
             self._view.states_leaving(server),
         )
+        return self._add_load(finished, result.metadata.load)
+
+    def _add_load(
+        self, finished: SendFinished, load: LoadReport | None
+    ) -> SendFinished:
+        """Add the load that a server stated, if the site decides by it."""
+        if load is None or not self._view.has_bulk_routes:
+            return finished
+        if finished.outcome is SendOutcome.MISDIRECTED:
+            # Another server may have the address by now.
+            return finished
+        return evolve(
+            finished,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+            slowdown_percent=load.slowdown_percent,
+        )
 
     def _record_availability(
         self, server: ServerName, response: ServerAnswer, now: MonotonicSeconds
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from orjson import dumps, loads
 
+from basilwick.core.dispatch.load_report import LoadReport
 from basilwick.core.dispatch.messages import UNLIMITED_RATE
 from basilwick.core.errors import InvalidSettingsError
 from basilwick.core.ranges.orders import GrantOrder, ReleaseOrder
@@ -454,3 +455,27 @@
     path.write_text("[")
     with pytest.raises(InvalidSettingsError):
         load_deployment(path)
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", LoadReport(3, 0, 8)),
+        (b"3, 1, 8 ,140", LoadReport(3, 1, 8, 1.4)),
+        (b"3,0,8,140,later", LoadReport(3, 0, 8, 1.4)),
+        (b"3,0,8,NaN", LoadReport(3, 0, 8)),
+        (b"3,0,8,-1", LoadReport(3, 0, 8)),
+        (b"3,0,8," + b"9" * 5_000, LoadReport(3, 0, 8)),
+        (b"", None),
+        (b"3,0", None),
+        (b"NaN,0,8", None),
+        (b"-1,0,8", None),
+        (b"3,0,0", None),
+        (b"1e3,0,8", None),
+        (b"9" * 5_000 + b",0,8", None),
+        (b",,,", None),
+    ],
+)
+def test_unreadable_loads_count_as_not_given(value, load):
+    """Python refuses to convert thousands of digits, and NaN passes comparisons."""
+    assert read_response_metadata([(b"X-Server-Load", value)]).load == load
--- a/tests/runtime/fleet/test_leader_links.py
+++ b/tests/runtime/fleet/test_leader_links.py
@@ -60,7 +60,7 @@
     link.submit(
         DispatchRequest(1, "s", 5, 2, 0.2, 1.0, unwanted_servers=("a",)), lambda _: None
     )
-    link.finish(SendFinished(1, SendOutcome.OK, 0.1, 7.0, 0.0, True))
+    link.finish(SendFinished(1, SendOutcome.OK, 0.1, 7.0, 0.0, True, 3, 0, 8, 140))
     async with asyncio.timeout(2):
         while not isinstance(received[-1], SendFinished):
             await asyncio.sleep(0.01)
@@ -70,6 +70,7 @@
     assert reports == ([RateLimitReport("s", 13.5)] if version == 2 else [])
     assert received[-1].rate_limit == (7.0 if version == 2 else None)
     assert received[-1].leaving == (version == 2)
+    assert received[-1].running == (3 if version == 2 else -1)
     assert [*received[-2].unwanted_servers] == (["a"] if version == 2 else [])
     leaving = [m for m in received if isinstance(m, LeavingReport)]
     assert leaving == ([LeavingReport("l", 7)] if version == 2 else [])
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -76,7 +76,7 @@
 def test_messages_of_a_later_build_are_read_as_far_as_they_are_known():
     """Instances lost the leader while a new build was rolled out."""
     assert decode_message(b'["odd",1,{"a":2}]') is None
-    later = decode_message(b'["done",4,"ok",0.5,13.5,0.0,false,"new",[1]]')
+    later = decode_message(b'["done",4,"ok",0.5,13.5,0.0,false,-1,0,0,0,"new",[1]]')
     assert later == SendFinished(4, SendOutcome.OK, 0.5, 13.5)
 
 
