Let instances without a leader choose the better of two servers by stated loads

Instances that decide by themselves used one slot of each server and all chose the one that looked best to them, so some servers rejected requests while others were idle.

With bulk routes such an instance draws two servers by capacity and takes the one of lower cost. A report of at most 0.8 s decides how many of a server's slots it may use; without one it uses its share, as before. Rates of cold and limited servers bind as before. Each instance also keeps the loads that it sees while the leader decides. The leader counts requests that two reports show and that it has not assigned as load, and always uses at least one slot of a server.

--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -75,6 +75,7 @@
     stated: StatedLoad = field(factory=StatedLoad)
     _sampled_at: MonotonicSeconds = float("-inf")
     _responded_at: MonotonicSeconds = float("-inf")
+    _unloaded_at: MonotonicSeconds = float("-inf")
     _backoffs: int = 0
 
     def estimate_latency(
@@ -105,18 +106,32 @@
         if not self.stated.states_slowdown or not self.unloaded_latency_s:
             return self.estimate_latency(typical_latency_s, now)
         latency_s = self.unloaded_latency_s * self.stated.estimate_slowdown(now)
-        weight = exp((self._sampled_at - now) / _LATENCY_DECAY_S)
+        weight = exp((self._unloaded_at - now) / _LATENCY_DECAY_S)
         return typical_latency_s + weight * (latency_s - typical_latency_s)
 
+    def estimate_mean_latency(self, typical_latency_s: float) -> float:
+        """Return the expected latency in seconds of requests of the next seconds."""
+        latency_s = self.unloaded_latency_s * self.stated.mean_slowdown
+        return latency_s or typical_latency_s
+
     def estimate_stated_cost(
-        self, typical_latency_s: float, slots: int, now: MonotonicSeconds
+        self,
+        typical_latency_s: float,
+        slots: int,
+        others: float,
+        now: MonotonicSeconds,
     ) -> float:
         """Return the cost in seconds of sending a request, by the stated load.
 
         Requests that the server has no slot for wait there, so they add their time.
+
+        Parameters
+        ----------
+        others : float
+            Requests of other origin that the server holds.
         """
         cost = self.estimate_stated_latency(typical_latency_s, now)
-        load = self.in_flight + self.stated.estimate_others(now)
+        load = self.in_flight + others
         excess = max(0.0, load + 1.0 - slots)
         cost *= 1.0 + (0.25 * load + excess) / max(1, slots)
         if now - self._sampled_at <= _FAILURE_WINDOW_S:
@@ -179,8 +194,20 @@
             self._back_off(now)
         elif outcome is SendOutcome.OK:
             self._backoffs = 0
-            slowdown = None if report is None else report.slowdown
-            self._record_latency(latency_s, slowdown or 1.0, now)
+            self._record_latency(latency_s, now)
+            self._record_unloaded_latency(latency_s, report, now)
+
+    def observe(
+        self,
+        outcome: SendOutcome,
+        latency_s: float,
+        now: MonotonicSeconds,
+        report: LoadReport,
+    ) -> None:
+        """Record the load that a server stated to a request of another dispatcher."""
+        self.record_report(report, outcome is not SendOutcome.SHED, now)
+        if outcome is SendOutcome.OK:
+            self._record_unloaded_latency(latency_s, report, now)
 
     def _was_unresponsive(self, latency_s: float, now: MonotonicSeconds) -> bool:
         """Return whether the server answered no request while this one waited."""
@@ -188,18 +215,25 @@
             latency_s >= _UNREACHABLE_AFTER_S and self._responded_at < now - latency_s
         )
 
-    def _record_latency(
-        self, latency_s: float, slowdown: float, now: MonotonicSeconds
-    ) -> None:
+    def _record_latency(self, latency_s: float, now: MonotonicSeconds) -> None:
         if not self.mean_latency_s:
             self.mean_latency_s = self.steady_latency_s = latency_s
-            self.unloaded_latency_s = latency_s / slowdown
         elapsed_s = now - self._responded_at
         self._responded_at = now
         self.mean_latency_s += _SAMPLE_WEIGHT * (latency_s - self.mean_latency_s)
         weight = min(_SAMPLE_WEIGHT, 1.0 - exp(-elapsed_s / _STEADY_PERIOD_S))
         self.steady_latency_s += weight * (latency_s - self.steady_latency_s)
-        unloaded_s = latency_s / slowdown
+
+    def _record_unloaded_latency(
+        self, latency_s: float, report: LoadReport | None, now: MonotonicSeconds
+    ) -> None:
+        slowdown = None if report is None else report.slowdown
+        unloaded_s = latency_s / (slowdown or 1.0)
+        if not self.unloaded_latency_s:
+            self.unloaded_latency_s = unloaded_s
+        elapsed_s = now - self._unloaded_at
+        self._unloaded_at = now
+        weight = min(_SAMPLE_WEIGHT, 1.0 - exp(-elapsed_s / _STEADY_PERIOD_S))
         self.unloaded_latency_s += weight * (unloaded_s - self.unloaded_latency_s)
 
     def _back_off(self, now: MonotonicSeconds) -> None:
--- a/basilwick/core/dispatch/server_selector.py
+++ b/basilwick/core/dispatch/server_selector.py
@@ -127,6 +127,8 @@
         typical_latency_s : float
             Mean latency of the service in seconds.
         """
+        if self._view.has_bulk_routes and not self.share.coordinated:
+            return self._choose_of_two(queue, request, typical_latency_s, now)
         best: _Candidate | None = None
         best_cost_s = float("inf")
         tried_servers = request.tried_servers if queue.owner is None else ()
@@ -139,7 +141,12 @@
             if load.in_flight >= slots or now < load.blocked_until:
                 continue
             if by_reports:
-                cost_s = load.estimate_stated_cost(typical_latency_s, slots, now)
+                others = load.stated.estimate_confirmed_others(now)
+                if load.in_flight >= max(1, slots - int(others + 0.5)):
+                    continue
+                cost_s = load.estimate_stated_cost(
+                    typical_latency_s, slots, others, now
+                )
             else:
                 cost_s = load.estimate_cost(typical_latency_s, slots, now)
             if server.name in tried_servers:
@@ -156,11 +163,103 @@
                     continue
             if self._has_token(candidate, now):
                 best, best_cost_s = candidate, cost_s
-        if best is None:
-            return None
-        if self._get_max_rate(best.server.name, now) < UNLIMITED_RATE:
-            best.load.rate_bucket.take()
-        return best.server
+        return None if best is None else self._take_token(best, now)
+
+    def _choose_of_two(
+        self,
+        queue: WaitQueue,
+        request: DispatchRequest,
+        typical_latency_s: float,
+        now: MonotonicSeconds,
+    ) -> ServerEntry | None:
+        """Return the better of two servers drawn at random, None if there is none.
+
+        Many instances that decide by themselves have the same old figures. All of them
+        would choose the server that looks best.
+        """
+        candidates: list[_Candidate] = []
+        weights: list[float] = []
+        crossing_cost_s = request.size_bytes * _CROSS_DATA_CENTRE_S_PER_BYTE
+        for candidate in self._list_candidates(queue, request):
+            server, load = candidate.server, candidate.load
+            if server.name in request.unwanted_servers or now < load.blocked_until:
+                continue
+            if load.in_flight >= self._count_free_slots(candidate, now):
+                continue
+            latency_s = load.estimate_mean_latency(typical_latency_s)
+            if server.data_centre != request.data_centre:
+                latency_s += crossing_cost_s
+            candidates.append(candidate)
+            weights.append(server.slots / latency_s)
+        tried_servers = request.tried_servers if queue.owner is None else ()
+        while candidates:
+            pair = self._draw_two(candidates, weights)
+            if len(pair) == 2:
+                pair.sort(
+                    key=lambda candidate: self._compute_cost(
+                        candidate, request, tried_servers, typical_latency_s, now
+                    )
+                )
+            for candidate in pair:
+                if self._has_token(candidate, now):
+                    return self._take_token(candidate, now)
+        return None
+
+    def _draw_two(
+        self, candidates: list[_Candidate], weights: list[float]
+    ) -> list[_Candidate]:
+        """Remove two candidates by weight, or the only one, and return them."""
+        drawn = []
+        while candidates and len(drawn) < 2:
+            index = self._rng.choices(range(len(candidates)), weights)[0]
+            del weights[index]
+            drawn.append(candidates.pop(index))
+        return drawn
+
+    def _compute_cost(
+        self,
+        candidate: _Candidate,
+        request: DispatchRequest,
+        tried_servers: tuple[str, ...],
+        typical_latency_s: float,
+        now: MonotonicSeconds,
+    ) -> float:
+        """Return the cost in seconds of a server by its stated load and location."""
+        server = candidate.server
+        others = candidate.load.stated.estimate_others(now)
+        cost_s = candidate.load.estimate_stated_cost(
+            typical_latency_s, server.slots, others, now
+        )
+        if self._view.is_cold(server.name, now):
+            cost_s *= _COLD_COST_FACTOR
+        if server.name in tried_servers:
+            cost_s += _TRIED_COST_FACTOR * typical_latency_s
+        if server.data_centre != request.data_centre:
+            cost_s += request.size_bytes * _CROSS_DATA_CENTRE_S_PER_BYTE
+        return cost_s
+
+    def _count_free_slots(self, candidate: _Candidate, now: MonotonicSeconds) -> int:
+        """Return the slots of a server that no request of other origin takes.
+
+        An instance that decides by itself knows too little without a fresh report; it
+        then uses its share. The leader always uses at least one slot, so that a server
+        gets requests whatever it stated.
+        """
+        stated = candidate.load.stated
+        slots = candidate.server.slots
+        if self.share.coordinated:
+            others = stated.estimate_confirmed_others(now)
+            return max(1, slots - int(others + 0.5))
+        if not stated.is_fresh(now):
+            return candidate.slots
+        slots = min(slots, stated.report.slots)
+        return max(0, slots - int(stated.estimate_others(now) + 0.5))
+
+    def _take_token(self, candidate: _Candidate, now: MonotonicSeconds) -> ServerEntry:
+        """Take a token of a server if its rate is limited; returns the server."""
+        if self._get_max_rate(candidate.server.name, now) < UNLIMITED_RATE:
+            candidate.load.rate_bucket.take()
+        return candidate.server
 
     def has_wanted_server(self, queue: WaitQueue, request: DispatchRequest) -> bool:
         """Return whether not all servers of a queue are unwanted by a request."""
@@ -197,13 +296,18 @@
         slots = 0
         requests_per_s = 0.0
         rate_limited = False
+        by_reports = self._view.has_bulk_routes
         for candidate in self._list_candidates(queue):
             if now < candidate.load.blocked_until:
                 continue
-            slots += candidate.slots
+            usable = candidate.slots
+            if by_reports:
+                free = self._count_free_slots(candidate, now)
+                usable = free if self.share.coordinated else max(usable, free)
+            slots += usable
             max_rate = self._get_max_rate(candidate.server.name, now)
-            rate_limited |= max_rate < candidate.slots / latency_s
-            requests_per_s += min(candidate.slots / latency_s, max_rate)
+            rate_limited |= max_rate < usable / latency_s
+            requests_per_s += min(usable / latency_s, max_rate)
         return QueueCapacity(slots, requests_per_s, rate_limited)
 
     def estimate_latency(
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -390,6 +390,7 @@
             )
             if finished.outcome is SendOutcome.OK:
                 self._response_sizes.record(context.route, _get_body_size(result.body))
+            self._dispatcher.observe_send(decision.server, finished, dispatch_client)
             dispatch_client.finish(finished)
 
     async def _send_to_server(
--- a/basilwick/runtime/fleet/failover_dispatcher.py
+++ b/basilwick/runtime/fleet/failover_dispatcher.py
@@ -16,8 +16,8 @@
     from collections.abc import Callable
 
     from basilwick.core.dispatch.dispatcher import DispatchDecision
-    from basilwick.core.dispatch.messages import DispatchRequest
-    from basilwick.core.types import MonotonicSeconds, ServiceName
+    from basilwick.core.dispatch.messages import DispatchRequest, SendFinished
+    from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
     from basilwick.runtime.fleet.dispatch_runner import DispatchClient
     from basilwick.runtime.fleet.leader_links import LeaderLink
     from basilwick.runtime.fleet.stored_state import StoredState
@@ -120,6 +120,23 @@
             decision = Refused(request.number, 0.1, "no decision in time")
         return decision, client
 
+    def observe_send(
+        self, server: ServerName, finished: SendFinished, client: DispatchClient
+    ) -> None:
+        """Keep the load that a server stated for the fallback's later decisions.
+
+        Parameters
+        ----------
+        client : DispatchClient
+            Client of the dispatcher that chose the server; the fallback learns the end
+            of its own sends without this.
+        """
+        report = finished.load_report
+        if report is None or client is self._fallback:
+            return
+        load = self._fallback.runner.dispatcher.get_load(server)
+        load.observe(finished.outcome, finished.latency_s, self._clock(), report)
+
     def _choose_client(self) -> DispatchClient:
         if self._leader_client is not None:
             return self._leader_client
--- a/tests/core/dispatch/test_dispatch_rate_limits.py
+++ b/tests/core/dispatch/test_dispatch_rate_limits.py
@@ -21,11 +21,13 @@
 from basilwick.core.dispatch.retry_window import RetryBudget
 from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import (
+    Route,
     ServerEntry,
     ServiceSpec,
     SiteConfiguration,
     SiteView,
 )
+from basilwick.core.types import Operation
 
 #: Window in seconds in which a limit binds.
 WINDOW_S = 4.0
@@ -40,10 +42,14 @@
 class Load:
     """One dispatcher and the requests that it assigned; time is simulated."""
 
-    def __init__(self, servers=1, share=None, seed=1, partitioned=False):
+    def __init__(self, servers=1, share=None, seed=1, partitioned=False, bulk=False):
         self.view = SiteView()
         spec = ServiceSpec("maps", "/", 100, 3.0, 10.0, partitioned=partitioned)
-        self.view.apply_configuration(SiteConfiguration(1, (), {"maps": spec}))
+        route = Route(
+            "r", "h", "/", Operation.IDEMPOTENT, (), 1.0, 0.3, 0, 2, frozenset(), bulk
+        )
+        configuration = SiteConfiguration(1, (route,), {"maps": spec})
+        self.view.apply_configuration(configuration)
         for index in range(servers):
             name = f"s{index}"
             entry = ServerEntry(name, "maps", f"{name}:1", "a", 4, False, 0.0, 1)
@@ -179,15 +185,16 @@
     assert len(load.sent) == sent + 1
 
 
+@pytest.mark.parametrize("bulk", [False, True])
 @pytest.mark.parametrize(("instances", "rate_limit"), [(10, 13.0), (80, 13.0), (40, 4)])
 def test_instances_that_decide_by_themselves_keep_the_limit_together(
-    instances, rate_limit
+    instances, rate_limit, bulk
 ):
     """Each instance without a leader sent its first request at once."""
     sent = []
     for index in range(instances):
         share = CapacityShare(slots=1, rate_fraction=1.0 / instances)
-        load = Load(share=share, seed=index)
+        load = Load(share=share, seed=index, bulk=bulk)
         load.state_limit(rate_limit)
         load.play(20.0, 12.0)
         sent += [at for at, _ in load.sent]
