--- a/basilwick/core/dispatch/load_report.py
+++ b/basilwick/core/dispatch/load_report.py
@@ -88,12 +88,15 @@
         Newest report, None before the first one.
     mean_slowdown : float
         Long-run mean of the stated slowdowns.
+    mean_utilization : float
+        Long-run mean of the requests that the server held per slot.
     states_slowdown : bool
         Whether the server has stated a slowdown.
     """
 
     report: LoadReport | None = None
     mean_slowdown: float = 1.0
+    mean_utilization: float = 0.0
     states_slowdown: bool = False
     _reported_at: MonotonicSeconds = float("-inf")
     _slowdown: float = 1.0
@@ -130,6 +133,8 @@
         weight = min(_MAX_WEIGHT, 1.0 - exp(-elapsed_s / _MEAN_PERIOD_S))
         self._others = others
         self._mean_others += weight * (others - self._mean_others)
+        utilization = report.held / report.slots
+        self.mean_utilization += weight * (utilization - self.mean_utilization)
         if report.slowdown is not None:
             self.states_slowdown = True
             self._slowdown = report.slowdown
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -32,6 +32,9 @@
     0.001, 0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05,
     0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 120,
 )  # fmt: skip
+#: A report older than 0.8 s no longer counts for the number of requests sent at once.
+_REPORT_AGE_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 5, 20)
+_LOAD_RATIO_BUCKETS = (1.1, 1.25, 1.5, 2, 3, 5, 10)
 
 
 class Metrics:
@@ -269,6 +272,31 @@
             ("reason",),
             registry=self.registry,
         )
+        self._report_age_seconds = Histogram(
+            "basilwick_load_report_age_seconds",
+            "Age of the newest load that each server stated, sampled once a second.",
+            ("service",),
+            buckets=_REPORT_AGE_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._busiest_to_mean = Histogram(
+            "basilwick_busiest_to_mean_load",
+            "Stated load per slot of the busiest server divided by the mean, over ten"
+            " seconds, sampled once a second.",
+            ("service",),
+            buckets=_LOAD_RATIO_BUCKETS,
+            registry=self.registry,
+        )
+
+    def observe_load_spread(
+        self, service: str, report_ages_s: Iterable[float], ratio: float | None
+    ) -> None:
+        """Record the ages of reports, and busiest to mean load if it is known."""
+        ages = self._report_age_seconds.labels(service)
+        for age_s in report_ages_s:
+            ages.observe(age_s)
+        if ratio is not None:
+            self._busiest_to_mean.labels(service).observe(ratio)
 
     def count_discarded_answer(self, reason: str) -> None:
         """Count an answer of a server that no request accepted."""
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from basilwick.core.dispatch.dispatcher import Dispatcher
+from basilwick.core.dispatch.load_spread import measure_load_spread
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBudget
 from basilwick.core.dispatch.server_selector import CapacityShare
@@ -52,6 +53,8 @@
 #: often, because it assigns their keys to other servers after that.
 _EXPIRY_INTERVAL_S = 0.5
 _LEADER_EXPIRY_INTERVAL_S = 0.1
+#: Interval in seconds between samples of the servers' stated loads for the metrics.
+_LOAD_SAMPLE_INTERVAL_S = 1.0
 #: Time in seconds for which a stopping instance still accepts new connections, because
 #: callers are directed to it until two readiness probes have failed.
 _ACCEPT_WHILE_STOPPING_S = 2.4
@@ -161,6 +164,7 @@
             deployment.metrics_address, self._respond_metrics
         )
         self._limits = CallerLimits()
+        self._loads_sampled_at = read_clock()
         self._task: asyncio.Task[None] | None = None
         self._stopping = False
 
@@ -282,6 +286,7 @@
         if self._role is not None and self._role.deposed:
             await self._election.step_down("servers follow another leader")
         self._apply_limits()
+        self._sample_loads()
         is_leader = self._role is not None
         return _LEADER_EXPIRY_INTERVAL_S if is_leader else _EXPIRY_INTERVAL_S
 
@@ -294,6 +299,22 @@
                 self._limits.idle_timeout_s, self._limits.header_timeout_s
             )
 
+    def _sample_loads(self) -> None:
+        """Record how old and how even the loads are that servers state."""
+        now = read_clock()
+        configuration = self._view.configuration
+        if not self._view.has_bulk_routes or configuration is None:
+            return
+        if now - self._loads_sampled_at < _LOAD_SAMPLE_INTERVAL_S:
+            return
+        self._loads_sampled_at = now
+        runner = self._fallback if self._role is None else self._role.runner
+        for service in configuration.services:
+            spread = measure_load_spread(self._view, runner.dispatcher, service, now)
+            self.metrics.observe_load_spread(
+                service, spread.report_ages_s, spread.busiest_to_mean
+            )
+
     def _record_discarded(self, answer: DiscardedAnswer) -> None:
         self.metrics.count_discarded_answer(answer.reason)
         log_request_line(
--- a/tests/core/dispatch/test_stated_loads.py
+++ b/tests/core/dispatch/test_stated_loads.py
@@ -9,6 +9,7 @@
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.key_owners import KeyOwner
 from basilwick.core.dispatch.load_report import LoadReport
+from basilwick.core.dispatch.load_spread import measure_load_spread
 from basilwick.core.dispatch.messages import DispatchRequest, SendFinished, SendOutcome
 from basilwick.core.dispatch.retry_window import RetryBudget
 from basilwick.core.dispatch.server_selector import CapacityShare
@@ -147,3 +148,14 @@
     assert result.longest_overload_s <= 0.8 + 0.4
     assert result.on_time_share > former.on_time_share
     assert result.rejected < former.rejected
+
+
+def test_the_spread_leaves_out_servers_that_state_no_load():
+    harness = Harness("s0", "s1", "s2")
+    for name, held in (("s0", 1), ("s1", 3)):
+        load = harness.dispatcher.get_load(name)
+        for step in range(300):
+            load.record_report(LoadReport(held, 0, 4), False, step * 0.1)
+    spread = measure_load_spread(harness.view, harness.dispatcher, "blobs", 30.0)
+    assert spread.report_ages_s == pytest.approx([0.1, 0.1])
+    assert spread.busiest_to_mean == pytest.approx(1.5, rel=0.05)
