Divide first and lost ranges among many servers by capacity

Cause: on sites with bulk routes, keys without an owner were cut into one contiguous span per server, so that a cluster of busy keys had one or two owners. The range of a lost or leaving server went whole to one server, whatever its load.

Change: while the configuration has bulk routes, each server gets up to three shares far from one another, in proportion to its capacity. A range that its owner loses is divided by measured rate among the servers with spare capacity, if it has no order in progress, no handover token and no other holder; otherwise it goes to the one server with room for it. The controller asks through RangeDivider, which is optional.

--- a/basilwick/core/ranges/controller.py
+++ b/basilwick/core/ranges/controller.py
@@ -42,8 +42,8 @@
     RangeHandover,
     ReleaseOrder,
 )
+from basilwick.core.ranges.owner_policy import divide_unowned, plan_next_owners
 from basilwick.core.ranges.pending import PendingOrder
-from basilwick.core.ranges.placement import plan_even_shares
 from basilwick.core.ranges.serving import describe_owner
 from basilwick.core.ranges.table import KeyRange, Phase, RangeTable, StoredRange
 from basilwick.core.ranges.takeover import (
@@ -56,7 +56,7 @@
     from collections.abc import Sequence
 
     from basilwick.core.dispatch.key_owners import KeyOwner
-    from basilwick.core.ranges.owner_policy import OwnerPolicy
+    from basilwick.core.ranges.owner_policy import OwnerPolicy, RangeDivider
     from basilwick.core.ranges.placement import Move
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
@@ -87,6 +87,8 @@
         Whether ownership has changed since it was last stored.
     deposed : bool
         Whether a server has seen fences of a later leader; then no order is sent.
+    divider : RangeDivider or None
+        Divides ranges without an owner, and ranges that their owner loses.
     """
 
     service: ServiceName
@@ -97,6 +99,7 @@
     taken_over_at: MonotonicSeconds
     dirty: bool = False
     deposed: bool = False
+    divider: RangeDivider | None = None
     _holds_lease: bool = True
     _handovers: list[RangeHandover] = field(factory=list)
     _order_numbers: count = field(factory=lambda: count(1))
@@ -134,14 +137,14 @@
     def assign_unowned(
         self, servers: Sequence[ServerName], now: MonotonicSeconds
     ) -> None:
-        """Divide each range without an owner evenly among servers."""
+        """Divide each range without an owner among servers."""
         unowned = [
             key_range
             for key_range in self.table.ranges
             if key_range.phase is Phase.UNOWNED and key_range.confirmed
         ]
         for key_range in unowned:
-            for move in plan_even_shares(key_range.first, key_range.last, servers):
+            for move in divide_unowned(key_range, servers, self.divider, now):
                 part = self.table.split_out(move.first, move.last)
                 self._begin_move(part, move.target, now)
 
@@ -166,7 +169,7 @@
             self._store_completion_at = float("inf")
             self.dirty = True
         orders = []
-        for key_range in self.table.ranges:
+        for key_range in list(self.table.ranges):
             may_move = holds_lease and key_range.confirmed
             if may_move and key_range.phase is Phase.OWNED:
                 self._replace_leaving_owner(key_range, now)
@@ -321,9 +324,9 @@
     ) -> None:
         if self.owner_policy.may_own(key_range.owner):
             return
-        target = self.owner_policy.choose_owner(key_range.owner)
-        if target is not None:
-            self._begin_move(key_range, target, now)
+        for move in plan_next_owners(key_range, self.owner_policy, self.divider, now):
+            part = self.table.split_out(move.first, move.last)
+            self._begin_move(part, move.target, now)
 
     def _begin_move(
         self, key_range: KeyRange, target: ServerName, now: MonotonicSeconds
@@ -372,15 +375,16 @@
         self, key_range: KeyRange, now: MonotonicSeconds
     ) -> None:
         if key_range.target is None:
-            target = self.owner_policy.choose_owner(key_range.owner)
-            if target is None:
+            moves = plan_next_owners(key_range, self.owner_policy, self.divider, now)
+            if not moves:
                 key_range.enter_phase(Phase.OWNED, now)
-            else:
-                key_range.target = target
-                key_range.phase = Phase.STORING
+            for move in moves:
+                part = self.table.split_out(move.first, move.last)
+                part.target = move.target
+                part.phase = Phase.STORING
                 # The wait for expiry continues after the move has been stored.
-                key_range.failures = _UNREACHABLE_AFTER_FAILURES
-                key_range.next_order_at = float("inf")
+                part.failures = _UNREACHABLE_AFTER_FAILURES
+                part.next_order_at = float("inf")
                 self.dirty = True
         elif now >= key_range.latest_grant_end:
             self._complete_move(key_range, HandoverReason.GRANT_EXPIRED, now)
--- a/basilwick/core/ranges/key_load.py
+++ b/basilwick/core/ranges/key_load.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from math import exp, sqrt
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from basilwick.core.types import MonotonicSeconds
 
-__all__ = ["KeyLoad"]
+__all__ = ["KeyLoad", "list_between"]
 
 #: Time constants in seconds of two averages of a key's request rate: the long one
 #: measures a steady load, the short one shows a change of the load early.
@@ -111,3 +114,10 @@
                 rates.append((key, rate))
         rates.sort()
         return rates
+
+
+def list_between(
+    rates: Sequence[tuple[int, float]], first: int, last: int
+) -> Sequence[tuple[int, float]]:
+    """Return the entries of a span of keys, both inclusive, from ordered rates."""
+    return rates[bisect_left(rates, (first, 0.0)) : bisect_left(rates, (last + 1, 0.0))]
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
-from basilwick.core.ranges.key_load import KeyLoad
+from basilwick.core.ranges.first_placement import (
+    SpareCapacity,
+    plan_interleaved_shares,
+    plan_spare_shares,
+)
+from basilwick.core.ranges.key_load import KeyLoad, list_between
 from basilwick.core.ranges.placement import Move, OwnedSpan, ServerCapacity, plan_moves
-from basilwick.core.ranges.table import Phase
+from basilwick.core.ranges.table import KEY_COUNT, Phase
 
 if TYPE_CHECKING:
     from basilwick.core.dispatch.dispatcher import Dispatcher
+    from basilwick.core.dispatch.server_load import ServerLoad
     from basilwick.core.dispatch.site import ServerEntry, SiteView
     from basilwick.core.ranges.table import RangeTable
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
@@ -30,8 +35,16 @@
 #: neighbour.
 _MAX_MERGE_RATE = 3.0
 _MAX_MERGE_KEYS = 128
+#: For bulk routes, largest number of keys of such a range as a part of the mean size at
+#: the largest number of ranges. The first shares of the servers are larger.
+_MAX_MERGE_FRACTION = 0.4
 #: Utilization up to which a server may receive ranges for a merge.
 _MAX_MERGE_UTILIZATION = 0.8
+#: Load that is expected on the keys of a range beyond what was measured, for all keys
+#: together: as a share of the measured load, and at least as a share of the servers'
+#: capacity. Otherwise one server would get all ranges without recent requests.
+_UNSEEN_LOAD = 0.25
+_MIN_UNSEEN_LOAD = 0.1
 
 
 @define(eq=False)
@@ -56,6 +69,11 @@
     load: KeyLoad = field(factory=KeyLoad)
     #: Utilization of each server that may receive keys, as of the last plan.
     _utilization: dict[ServerName, float] = field(factory=dict)
+    #: For bulk routes: ranges and rates of the last plan, and the load of the servers
+    #: with the keys that were given to them since.
+    _table: RangeTable | None = None
+    _rates: list[tuple[int, float]] = field(factory=list)
+    _assigned_rates: dict[ServerName, float] = field(factory=dict)
 
     def may_own(self, server: ServerName) -> bool:
         """Return whether a server may keep its ranges."""
@@ -73,6 +91,64 @@
         self._utilization[best] = self._utilization.get(best, 0.0) + 0.05
         return best
 
+    def divide_unowned(
+        self, first: int, last: int, now: MonotonicSeconds
+    ) -> list[Move] | None:
+        """Return interleaved shares of a span; None if it is to be divided evenly."""
+        if not self.view.has_bulk_routes:
+            return None
+        return plan_interleaved_shares(first, last, self._list_capacities(now))
+
+    def plan_shares(
+        self,
+        first: int,
+        last: int,
+        excluded: ServerName | None,
+        divisible: bool,
+        now: MonotonicSeconds,
+    ) -> list[Move] | None:
+        """Return shares by spare capacity; None if one server is to be chosen."""
+        if not self.view.has_bulk_routes:
+            return None
+        servers = self._list_receivers(excluded, now)
+        capacity = sum(server.requests_per_s for server in servers)
+        demand = sum(rate for _, rate in self._rates)
+        unseen = max(_UNSEEN_LOAD * demand, _MIN_UNSEEN_LOAD * capacity)
+        spare_ranges = 0
+        if divisible and self._table is not None:
+            spare_ranges = _MAX_RANGES_PER_SERVER * len(servers)
+            spare_ranges -= len(self._table.ranges)
+        moves = plan_spare_shares(
+            first,
+            last,
+            list_between(self._rates, first, last),
+            unseen / KEY_COUNT,
+            servers,
+            1 + max(0, spare_ranges) if divisible else 1,
+        )
+        for server in servers:
+            self._assigned_rates[server.server] = server.load
+        return moves
+
+    def _list_receivers(
+        self, excluded: ServerName | None, now: MonotonicSeconds
+    ) -> list[SpareCapacity]:
+        """Return the servers that may take over a range, with their load.
+
+        A server that doesn't answer for a range it has is left out if others are left:
+        servers are often lost together, and are not noticed at the same moment.
+        """
+        receivers = [
+            SpareCapacity(
+                c.server, c.requests_per_s, self._assigned_rates.get(c.server, 0.0)
+            )
+            for c in self._list_capacities(now)
+            if c.server != excluded
+        ]
+        ranges = () if self._table is None else self._table.ranges
+        failing = {r.owner for r in ranges if r.failures or r.phase is Phase.EXPIRING}
+        return [r for r in receivers if r.server not in failing] or receivers
+
     def list_eligible_owners(self, now: MonotonicSeconds) -> list[ServerName]:
         """Return the servers that may receive ranges."""
         return [entry.name for entry in self._list_candidates(now)]
@@ -87,11 +163,26 @@
         ]
         rates = self.load.list_rates(now)
         self._update_utilization(table, rates, capacities)
+        if self.view.has_bulk_routes:
+            self._table, self._rates = table, rates
+            self._assigned_rates = self._sum_loads(table, rates)
         moves = plan_moves(spans, rates, capacities)
         if len(table.ranges) > _MAX_RANGES_PER_SERVER * len(capacities):
             moves += self._plan_merges(spans, rates, moves)
         return moves
 
+    def _sum_loads(
+        self, table: RangeTable, rates: list[tuple[int, float]]
+    ) -> dict[ServerName, float]:
+        """Return the rate of the keys that each server owns or is about to own."""
+        load: dict[ServerName, float] = {}
+        for key_range in table.ranges:
+            owner = key_range.target or key_range.owner
+            if owner is not None:
+                keys = list_between(rates, key_range.first, key_range.last)
+                load[owner] = load.get(owner, 0.0) + sum(rate for _, rate in keys)
+        return load
+
     def _plan_merges(
         self,
         spans: list[OwnedSpan],
@@ -103,9 +194,12 @@
         Fewer ranges save work of the leader, which renews the grant of each range.
         """
         moved_spans = {(move.first, move.last) for move in moves}
-        max_merges = max(
-            _MIN_MERGE_LIMIT, int(_MERGES_PER_SERVER * len(self._utilization))
-        )
+        servers = max(1, len(self._utilization))
+        max_merges = max(_MIN_MERGE_LIMIT, int(_MERGES_PER_SERVER * servers))
+        max_keys = _MAX_MERGE_KEYS
+        if self.view.has_bulk_routes:
+            mean_keys = KEY_COUNT / (_MAX_RANGES_PER_SERVER * servers)
+            max_keys = min(max_keys, _MAX_MERGE_FRACTION * mean_keys)
         merges: list[Move] = []
         just_merged = False
         for lower, upper in pairwise(spans):
@@ -116,16 +210,13 @@
             source, target = lower, upper.owner
             if upper.last - upper.first < lower.last - lower.first:
                 source, target = upper, lower.owner
-            start = bisect_left(rates, (source.first, 0.0))
-            end = bisect_left(rates, (source.last + 1, 0.0))
-            rate = sum(rate for _, rate in rates[start:end])
+            in_source = list_between(rates, source.first, source.last)
+            rate = sum(rate for _, rate in in_source)
             busy = self._utilization.get(target, 1.0) > _MAX_MERGE_UTILIZATION
             overlaps = any(
                 source.first <= a and b <= source.last for a, b in moved_spans
             )
-            small = (
-                rate <= _MAX_MERGE_RATE and source.last - source.first < _MAX_MERGE_KEYS
-            )
+            small = rate <= _MAX_MERGE_RATE and source.last - source.first < max_keys
             if small and not busy and not overlaps:
                 merges.append(Move(source.first, source.last, target))
                 just_merged = True
@@ -145,25 +236,41 @@
 
     def _list_capacities(self, now: MonotonicSeconds) -> list[ServerCapacity]:
         entries = self._list_candidates(now)
-        latencies_s = {
-            entry.name: self.dispatcher.get_load(entry.name).steady_latency_s
-            for entry in entries
-        }
+        latencies_s = self._list_latencies(entries)
         # A server without measurements counts as the fastest one, so that it gets work
-        # and is measured.
-        fastest_s = min(filter(None, latencies_s.values()), default=None)
-        if fastest_s is None:
-            fastest_s = self.dispatcher.get_typical_latency_s(self.service)
+        # and is measured. With bulk routes it counts as a typical one, because a slow
+        # server with the keys of a fast one refuses requests until they have moved.
+        measured = sorted(filter(None, latencies_s.values()))
+        if not measured:
+            assumed_s = self.dispatcher.get_typical_latency_s(self.service)
+        elif self.view.has_bulk_routes:
+            assumed_s = measured[len(measured) // 2]
+        else:
+            assumed_s = measured[0]
         return [
             ServerCapacity(
                 entry.name,
                 entry.slots,
-                latencies_s[entry.name] or fastest_s,
+                latencies_s[entry.name] or assumed_s,
                 self.view.get_max_rate(entry.name, now),
             )
             for entry in entries
         ]
 
+    def _list_latencies(self, entries: list[ServerEntry]) -> dict[ServerName, float]:
+        """Return the latency by which each server is compared, 0 if not measured."""
+        loads = {entry.name: self.dispatcher.get_load(entry.name) for entry in entries}
+        steady = {name: load.steady_latency_s for name, load in loads.items()}
+        if not self.view.has_bulk_routes:
+            return steady
+        unloaded = {name: _get_unloaded_latency(load) for name, load in loads.items()}
+        # The usual slowdown of all servers together belongs to each one's latency.
+        both = [name for name in loads if steady[name] and unloaded[name]]
+        slowdown = 1.0
+        if both:
+            slowdown = sum(steady[n] for n in both) / sum(unloaded[n] for n in both)
+        return {name: slowdown * unloaded[name] or steady[name] for name in loads}
+
     def _update_utilization(
         self,
         table: RangeTable,
@@ -178,3 +285,8 @@
         self._utilization = {
             c.server: load[c.server] / c.requests_per_s for c in capacities
         }
+
+
+def _get_unloaded_latency(load: ServerLoad) -> float:
+    """Return the latency without the stated slowdowns, 0 if it isn't measured."""
+    return getattr(load, "unloaded_latency_s", 0.0)
--- a/basilwick/runtime/fleet/leader_role.py
+++ b/basilwick/runtime/fleet/leader_role.py
@@ -196,14 +196,16 @@
             if not spec.partitioned or spec.name in self._range_managers:
                 continue
             dispatcher = self.runner.dispatcher
+            selector = OwnerSelector(spec.name, self._view, dispatcher)
             manager = RangeManager(
-                OwnerSelector(spec.name, self._view, dispatcher),
+                selector,
                 self._view,
                 self._store,
                 self._client,
                 self._timings,
                 self._clock,
                 self._authority,
+                divider=selector,
             )
             try:
                 await manager.start()
--- a/basilwick/runtime/fleet/range_manager.py
+++ b/basilwick/runtime/fleet/range_manager.py
@@ -45,6 +45,7 @@
 
     from basilwick.core.dispatch.site import SiteView
     from basilwick.core.ranges.orders import Order, OwnershipTimings
+    from basilwick.core.ranges.owner_policy import RangeDivider
     from basilwick.core.ranges.owner_selector import OwnerSelector
     from basilwick.core.ranges.table import StoredRange
     from basilwick.core.types import MonotonicSeconds, ServerName
@@ -118,6 +119,8 @@
         Local clock in seconds.
     authority : LeaderAuthority
         Tells which orders this instance may send at the moment.
+    divider : RangeDivider or None
+        Divides ranges without an owner, and ranges that their owner loses.
     """
 
     def __init__(
@@ -129,8 +132,10 @@
         timings: OwnershipTimings,
         clock: Callable[[], MonotonicSeconds],
         authority: LeaderAuthority,
+        divider: RangeDivider | None = None,
     ):
         self.selector = selector
+        self._divider = divider
         self.service = selector.service
         self._view = view
         self._store = store
@@ -187,6 +192,7 @@
             self._timings,
             self.selector,
             taken_over_at,
+            divider=self._divider,
         )
         if outdated:
             self.controller.suspect_other_leader(taken_over_at)
