--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
-from basilwick.core.ranges.key_load import KeyLoad
+from basilwick.core.ranges.failing_owners import FailingOwners
+from basilwick.core.ranges.first_placement import (
+    SpareCapacity,
+    plan_interleaved_shares,
+    plan_spare_shares,
+)
+from basilwick.core.ranges.key_load import KeyLoad, list_between
 from basilwick.core.ranges.placement import Move, OwnedSpan, ServerCapacity, plan_moves
-from basilwick.core.ranges.table import Phase
+from basilwick.core.ranges.table import KEY_COUNT, Phase
+from basilwick.core.ranges.uneven_demand import find_excess_keys, plan_uneven_moves
 
 if TYPE_CHECKING:
     from basilwick.core.dispatch.dispatcher import Dispatcher
+    from basilwick.core.dispatch.server_load import ServerLoad
     from basilwick.core.dispatch.site import ServerEntry, SiteView
     from basilwick.core.ranges.table import RangeTable
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
@@ -32,6 +39,11 @@
 _MAX_MERGE_KEYS = 128
 #: Utilization up to which a server may receive ranges for a merge.
 _MAX_MERGE_UTILIZATION = 0.8
+#: Load that is expected on the keys of a range beyond what was measured, for all keys
+#: together: as a share of the measured load, and at least as a share of the servers'
+#: capacity. Otherwise one server would get all ranges without recent requests.
+_UNSEEN_LOAD = 0.25
+_MIN_UNSEEN_LOAD = 0.1
 
 
 @define(eq=False)
@@ -48,14 +60,24 @@
         Source of the measured latencies of servers.
     load : KeyLoad
         Request rates of the keys.
+    excess_keys : dict
+        Keys with more requests than any server can serve, with the requests per second
+        that their owner can; as of the last plan, and only for sites with bulk routes.
     """
 
     service: ServiceName
     view: SiteView
     dispatcher: Dispatcher
     load: KeyLoad = field(factory=KeyLoad)
+    excess_keys: dict[int, float] = field(factory=dict)
     #: Utilization of each server that may receive keys, as of the last plan.
     _utilization: dict[ServerName, float] = field(factory=dict)
+    #: For bulk routes: ranges and rates of the last plan, and the load of the servers
+    #: with the keys that were given to them since.
+    _table: RangeTable | None = None
+    _failing: FailingOwners = field(factory=FailingOwners)
+    _rates: list[tuple[int, float]] = field(factory=list)
+    _assigned_rates: dict[ServerName, float] = field(factory=dict)
 
     def may_own(self, server: ServerName) -> bool:
         """Return whether a server may keep its ranges."""
@@ -73,12 +95,76 @@
         self._utilization[best] = self._utilization.get(best, 0.0) + 0.05
         return best
 
+    def divide_unowned(
+        self, first: int, last: int, now: MonotonicSeconds
+    ) -> list[Move] | None:
+        """Return interleaved shares of a span; None if it is to be divided evenly."""
+        if not self.view.has_bulk_routes:
+            return None
+        return plan_interleaved_shares(first, last, self._list_capacities(now))
+
+    def plan_shares(
+        self,
+        first: int,
+        last: int,
+        excluded: ServerName | None,
+        divisible: bool,
+        now: MonotonicSeconds,
+    ) -> list[Move] | None:
+        """Return shares by spare capacity; None if one server is to be chosen."""
+        if not self.view.has_bulk_routes:
+            return None
+        servers = self._list_receivers(excluded, now)
+        capacity = sum(server.requests_per_s for server in servers)
+        demand = sum(rate for _, rate in self._rates)
+        unseen = max(_UNSEEN_LOAD * demand, _MIN_UNSEEN_LOAD * capacity)
+        spare_ranges = 0
+        if divisible and self._table is not None:
+            spare_ranges = _MAX_RANGES_PER_SERVER * len(servers)
+            spare_ranges -= len(self._table.ranges)
+        moves = plan_spare_shares(
+            first,
+            last,
+            list_between(self._rates, first, last),
+            unseen / KEY_COUNT,
+            servers,
+            1 + max(0, spare_ranges) if divisible else 1,
+        )
+        for server in servers:
+            self._assigned_rates[server.server] = server.load
+        return moves
+
+    def _list_receivers(
+        self, excluded: ServerName | None, now: MonotonicSeconds
+    ) -> list[SpareCapacity]:
+        """Return the servers that may take over a range, with their load.
+
+        A server that doesn't answer for its ranges is left out if others are left:
+        servers are often lost together, and are not noticed at the same moment.
+        """
+        receivers = [
+            SpareCapacity(
+                c.server, c.requests_per_s, self._assigned_rates.get(c.server, 0.0)
+            )
+            for c in self._list_capacities(now)
+            if c.server != excluded
+        ]
+        if self._table is not None:
+            self._failing.update(self._table.ranges, now)
+        answering = [
+            r for r in receivers if not self._failing.is_avoided(r.server, now)
+        ]
+        return answering or receivers
+
     def list_eligible_owners(self, now: MonotonicSeconds) -> list[ServerName]:
         """Return the servers that may receive ranges."""
         return [entry.name for entry in self._list_candidates(now)]
 
     def plan(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
         """Return the moves that balance the load and merge small ranges."""
+        if self.view.has_bulk_routes:
+            return self._plan_uneven(table, now)
+        self.excess_keys = {}
         capacities = self._list_capacities(now)
         spans = [
             OwnedSpan(key_range.first, key_range.last, key_range.owner)
@@ -92,6 +178,40 @@
             moves += self._plan_merges(spans, rates, moves)
         return moves
 
+    def _plan_uneven(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
+        """Return the moves that are worth their cost under uneven demand."""
+        rates = self.load.list_rates_by_block(now)
+        self._table, self._rates = table, rates
+        self._failing.update(table.ranges, now)
+        # A cold server gets the keys that its warm-up rate suffices for.
+        capacities = [
+            capacity
+            for capacity in self._list_capacities(now, include_cold=True)
+            if not self._failing.is_avoided(capacity.server, now)
+        ]
+        spans = []
+        fixed: dict[ServerName, float] = {}
+        self._assigned_rates = {}
+        # Neighbours of one owner are merged once they are settled.
+        range_count, previous = 0, None
+        for key_range in table.ranges:
+            owner = key_range.target or key_range.owner
+            range_count += owner is None or owner != previous
+            previous = owner
+            if owner is None:
+                continue
+            keys = list_between(rates, key_range.first, key_range.last)
+            rate = sum(rate for _, rate in keys)
+            self._assigned_rates[owner] = self._assigned_rates.get(owner, 0.0) + rate
+            if key_range.settled:
+                spans.append(OwnedSpan(key_range.first, key_range.last, owner))
+            else:
+                fixed[owner] = fixed.get(owner, 0.0) + rate
+        self.excess_keys = find_excess_keys(
+            rates, capacities, lambda key: table.find(key).owner
+        )
+        return plan_uneven_moves(spans, rates, capacities, fixed, range_count)
+
     def _plan_merges(
         self,
         spans: list[OwnedSpan],
@@ -116,9 +236,8 @@
             source, target = lower, upper.owner
             if upper.last - upper.first < lower.last - lower.first:
                 source, target = upper, lower.owner
-            start = bisect_left(rates, (source.first, 0.0))
-            end = bisect_left(rates, (source.last + 1, 0.0))
-            rate = sum(rate for _, rate in rates[start:end])
+            in_source = list_between(rates, source.first, source.last)
+            rate = sum(rate for _, rate in in_source)
             busy = self._utilization.get(target, 1.0) > _MAX_MERGE_UTILIZATION
             overlaps = any(
                 source.first <= a and b <= source.last for a, b in moved_spans
@@ -133,37 +252,59 @@
                     break
         return merges
 
-    def _list_candidates(self, now: MonotonicSeconds) -> list[ServerEntry]:
+    def _list_candidates(
+        self, now: MonotonicSeconds, include_cold: bool = False
+    ) -> list[ServerEntry]:
         entries = self.view.list_servers(self.service)
         unblocked = [
             entry
             for entry in entries
             if now >= self.dispatcher.get_load(entry.name).blocked_until
         ]
+        if include_cold:
+            return unblocked or entries
         warm = [entry for entry in unblocked if not self.view.is_cold(entry.name, now)]
         return warm or unblocked or entries
 
-    def _list_capacities(self, now: MonotonicSeconds) -> list[ServerCapacity]:
-        entries = self._list_candidates(now)
-        latencies_s = {
-            entry.name: self.dispatcher.get_load(entry.name).steady_latency_s
-            for entry in entries
-        }
+    def _list_capacities(
+        self, now: MonotonicSeconds, include_cold: bool = False
+    ) -> list[ServerCapacity]:
+        entries = self._list_candidates(now, include_cold)
+        latencies_s = self._list_latencies(entries)
         # A server without measurements counts as the fastest one, so that it gets work
-        # and is measured.
-        fastest_s = min(filter(None, latencies_s.values()), default=None)
-        if fastest_s is None:
-            fastest_s = self.dispatcher.get_typical_latency_s(self.service)
+        # and is measured. With bulk routes it counts as a typical one, because a slow
+        # server with the keys of a fast one refuses requests until they have moved.
+        measured = sorted(filter(None, latencies_s.values()))
+        if not measured:
+            assumed_s = self.dispatcher.get_typical_latency_s(self.service)
+        elif self.view.has_bulk_routes:
+            assumed_s = measured[len(measured) // 2]
+        else:
+            assumed_s = measured[0]
         return [
             ServerCapacity(
                 entry.name,
                 entry.slots,
-                latencies_s[entry.name] or fastest_s,
+                latencies_s[entry.name] or assumed_s,
                 self.view.get_max_rate(entry.name, now),
             )
             for entry in entries
         ]
 
+    def _list_latencies(self, entries: list[ServerEntry]) -> dict[ServerName, float]:
+        """Return the latency by which each server is compared, 0 if not measured."""
+        loads = {entry.name: self.dispatcher.get_load(entry.name) for entry in entries}
+        steady = {name: load.steady_latency_s for name, load in loads.items()}
+        if not self.view.has_bulk_routes:
+            return steady
+        unloaded = {name: _get_unloaded_latency(load) for name, load in loads.items()}
+        # The usual slowdown of all servers together belongs to each one's latency.
+        both = [name for name in loads if steady[name] and unloaded[name]]
+        slowdown = 1.0
+        if both:
+            slowdown = sum(steady[n] for n in both) / sum(unloaded[n] for n in both)
+        return {name: slowdown * unloaded[name] or steady[name] for name in loads}
+
     def _update_utilization(
         self,
         table: RangeTable,
@@ -178,3 +319,8 @@
         self._utilization = {
             c.server: load[c.server] / c.requests_per_s for c in capacities
         }
+
+
+def _get_unloaded_latency(load: ServerLoad) -> float:
+    """Return the latency without the stated slowdowns, 0 if it isn't measured."""
+    return getattr(load, "unloaded_latency_s", 0.0)
