Grant the keys of a first start once the servers have arrived

At a start of the site, all keys were granted to the three or four servers that had registered when the leader took over; 53% of the requests of the first two seconds were refused, until the load was measured and moved. A service without any owner now waits until no further server has come for 1.5 s, 4 s at most. Only sites with bulk routes wait.

The plays of placement now let their servers register before the first request.

--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -15,6 +15,7 @@
 )
 from basilwick.core.ranges.key_load import KeyLoad, list_between
 from basilwick.core.ranges.placement import Move, OwnedSpan, ServerCapacity, plan_moves
+from basilwick.core.ranges.server_arrivals import ServerArrivals
 from basilwick.core.ranges.table import KEY_COUNT, Phase
 from basilwick.core.ranges.uneven_demand import find_excess_keys, plan_uneven_moves
 
@@ -76,6 +77,7 @@
     #: with the keys that were given to them since.
     _table: RangeTable | None = None
     _failing: FailingOwners = field(factory=FailingOwners)
+    _arrivals: ServerArrivals = field(factory=ServerArrivals)
     _rates: list[tuple[int, float]] = field(factory=list)
     _assigned_rates: dict[ServerName, float] = field(factory=dict)
 
@@ -98,10 +100,18 @@
     def divide_unowned(
         self, first: int, last: int, now: MonotonicSeconds
     ) -> list[Move] | None:
-        """Return interleaved shares of a span; None if it is to be divided evenly."""
+        """Return interleaved shares of a span; None if it is to be divided evenly.
+
+        At a first start there are no shares until the servers have arrived.
+        """
         if not self.view.has_bulk_routes:
             return None
-        return plan_interleaved_shares(first, last, self._list_capacities(now))
+        capacities = self._list_capacities(now)
+        is_first = last - first + 1 == KEY_COUNT
+        servers = [capacity.server for capacity in capacities]
+        if is_first and not self._arrivals.observe(servers, now):
+            return []
+        return plan_interleaved_shares(first, last, capacities)
 
     def plan_shares(
         self,
--- a/tests/core/ranges/demand_play.py
+++ b/tests/core/ranges/demand_play.py
@@ -92,6 +92,8 @@
             0.0,
             divider=self.selector,
         )
+        # The servers registered long before the first request.
+        self.selector.divide_unowned(0, KEY_COUNT - 1, self.now - REGISTRATION_S - 2.0)
         self.in_flight = []
         self.expiries = []
         self.waiting = []
--- a/tests/core/ranges/test_owner_selector.py
+++ b/tests/core/ranges/test_owner_selector.py
@@ -92,9 +92,21 @@
     return selection
 
 
+def divide_first(selection):
+    """Return the first shares, once the servers have been known for some time."""
+    selection.divide_unowned(0, KEY_COUNT - 1, -3.0)
+    return selection.divide_unowned(0, KEY_COUNT - 1, 0.0)
+
+
+def test_the_first_servers_that_register_do_not_get_all_keys(bulk_selection):
+    assert bulk_selection.divide_unowned(0, KEY_COUNT - 1, 0.0) == []
+    assert bulk_selection.divide_unowned(0, 100, 0.1)
+    assert bulk_selection.divide_unowned(0, KEY_COUNT - 1, 2.0)
+
+
 def test_first_shares_are_not_joined(bulk_selection):
     """Joining quiet ranges gave a cluster of busy keys to one owner again."""
-    shares = bulk_selection.divide_unowned(0, KEY_COUNT - 1, 0.0)
+    shares = divide_first(bulk_selection)
     ranges = [
         KeyRange(
             share.first,
