--- a/basilwick/core/dispatch/server_selector.py
+++ b/basilwick/core/dispatch/server_selector.py
@@ -142,7 +142,7 @@
                 continue
             if by_reports:
                 others = load.stated.estimate_confirmed_others(now)
-                if load.in_flight >= max(1, slots - int(others + 0.5)):
+                if load.in_flight >= max(1, slots - round(others)):
                     continue
                 cost_s = load.estimate_stated_cost(
                     typical_latency_s, slots, others, now
@@ -249,11 +249,11 @@
         slots = candidate.server.slots
         if self.share.coordinated:
             others = stated.estimate_confirmed_others(now)
-            return max(1, slots - int(others + 0.5))
+            return max(1, slots - round(others))
         if not stated.is_fresh(now):
             return candidate.slots
         slots = min(slots, stated.report.slots)
-        return max(0, slots - int(stated.estimate_others(now) + 0.5))
+        return max(0, slots - round(stated.estimate_others(now)))
 
     def _take_token(self, candidate: _Candidate, now: MonotonicSeconds) -> ServerEntry:
         """Take a token of a server if its rate is limited; returns the server."""
