Move heartbeat timing, ownership logs and handovers out of long modules

The tests of core/ranges, test_link, test_leader_links, test_ownership_logs and test_range_manager pass.

--- a/basilwick/core/ranges/controller.py
+++ b/basilwick/core/ranges/controller.py
@@ -421,28 +421,10 @@
     def _complete_move(
         self, key_range: KeyRange, reason: HandoverReason, now: MonotonicSeconds
     ) -> None:
-        self._handovers.append(
-            RangeHandover(
-                key_range.first,
-                key_range.last,
-                key_range.owner,
-                key_range.target,
-                reason,
-                self.fences.next_fence,
-            )
-        )
-        key_range.owner, key_range.target = key_range.target, None
+        self._handovers.append(key_range.hand_over(reason, self.fences.next_fence, now))
         self._store_completion_at = min(
             self._store_completion_at, now + _COMPLETION_STORE_DELAY_S
         )
-        key_range.fence = 0
-        key_range.owner_reached = key_range.former_reached = False
-        key_range.serving_until = _NEVER
-        key_range.latest_grant_end, key_range.target_latest_grant_end = (
-            key_range.target_latest_grant_end,
-            _NEVER,
-        )
-        key_range.enter_phase(Phase.OWNED, now)
 
     def _handle_accepted(
         self, pending: PendingOrder, grant_ttl_s: float, now: MonotonicSeconds
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -8,10 +8,13 @@
 
 from attrs import define, evolve, field, frozen
 
+from basilwick.core.ranges.orders import RangeHandover
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from basilwick.core.types import MonotonicSeconds, ServerName
+    from basilwick.core.ranges.orders import HandoverReason
+    from basilwick.core.types import Fence, MonotonicSeconds, ServerName
 
 __all__ = ["KEY_COUNT", "KeyRange", "Phase", "RangeTable", "StoredRange"]
 
@@ -153,6 +156,22 @@
         self.failures = 0
         self.pending_order_number = 0
 
+    def hand_over(
+        self, reason: HandoverReason, fence: Fence, now: MonotonicSeconds
+    ) -> RangeHandover:
+        """Make the next owner the owner; its first order is due at once."""
+        handover = RangeHandover(
+            self.first, self.last, self.owner, self.target, reason, fence
+        )
+        self.owner, self.target = self.target, None
+        self.fence = 0
+        self.owner_reached = self.former_reached = False
+        self.serving_until = float("-inf")
+        self.latest_grant_end = self.target_latest_grant_end
+        self.target_latest_grant_end = float("-inf")
+        self.enter_phase(Phase.OWNED, now)
+        return handover
+
     def to_stored(self) -> StoredRange:
         """Return the range in its stored form."""
         if self.target is None:
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from attrs import define, evolve
+from attrs import evolve
 from loguru import logger
 
 from basilwick.core.dispatch.messages import (
@@ -32,6 +32,11 @@
     ChangeSender,
     reads_packed_changes,
 )
+from basilwick.runtime.fleet.heartbeat_timing import (
+    MIN_HEARTBEAT_INTERVAL_S,
+    TransitDelay,
+    compute_heartbeat_interval,
+)
 from basilwick.runtime.fleet.loops import run_periodically
 from basilwick.transport.link import (
     LINK_VERSION,
@@ -50,13 +55,8 @@
     from basilwick.core.types import MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
-__all__ = ["LeaderLink", "LinkListener", "TransitDelay"]
+__all__ = ["LeaderLink", "LinkListener"]
 
-#: Shortest interval in seconds between the leader's heartbeats. The interval grows with
-#: the number of linked instances, which limits the total rate of heartbeats.
-MIN_HEARTBEAT_INTERVAL_S = 0.1
-_MAX_HEARTBEATS_PER_S = 600.0
-_MAX_HEARTBEAT_INTERVAL_S = 0.4
 #: Time in seconds beyond the heartbeat interval after which a silent leader counts as
 #: unreachable.
 _HEARTBEAT_GRACE_S = 0.25
@@ -71,27 +71,6 @@
 _IDLE_CHECK_INTERVAL_S = 0.3
 
 
-@define(eq=False)
-class TransitDelay:
-    """Time for which heartbeats of a link are held up on their way.
-
-    The clocks of two instances differ, so only the time beyond that of the fastest
-    heartbeat is known.
-    """
-
-    _shortest_s: float = float("inf")
-
-    def estimate(
-        self, heartbeat: LeaderHeartbeat, arrived_at: MonotonicSeconds
-    ) -> float:
-        """Return the delay in seconds beyond that of the fastest heartbeat."""
-        if heartbeat.sent_at == 0.0:
-            return 0.0
-        offset_s = arrived_at - heartbeat.sent_at
-        self._shortest_s = min(self._shortest_s, offset_s)
-        return offset_s - self._shortest_s
-
-
 class LinkListener:
     """Accepts links of other instances and serves them while this instance leads.
 
@@ -229,14 +208,6 @@
         return heartbeat.interval_s
 
 
-def compute_heartbeat_interval(instance_count: int) -> float:
-    """Return the interval in seconds between heartbeats to a number of instances."""
-    return min(
-        _MAX_HEARTBEAT_INTERVAL_S,
-        max(MIN_HEARTBEAT_INTERVAL_S, instance_count / _MAX_HEARTBEATS_PER_S),
-    )
-
-
 def _send_decision(link: Link, decision: DispatchDecision | None) -> None:
     if decision is not None:
         link.send(decision)
--- a/basilwick/runtime/fleet/range_manager.py
+++ b/basilwick/runtime/fleet/range_manager.py
@@ -32,6 +32,7 @@
     encode_order,
     has_successor,
 )
+from basilwick.runtime.fleet.ownership_logs import log_failed_order, log_handover
 from basilwick.runtime.fleet.stored_ranges import (
     StoredRanges,
     decode_ranges,
@@ -427,15 +428,7 @@
         if result is OrderResult.ENDED:
             self._evidence.count("server process")
         if result is not OrderResult.OK:
-            logger.bind(
-                service=self.service,
-                server=order.server,
-                order=type(order).__name__,
-                first=order.first,
-                last=order.last,
-                fence=order.fence,
-                result=result.value,
-            ).warning("order without effect")
+            log_failed_order(self.service, order, result)
         if isinstance(order, GrantOrder):
             more_due = self.controller.handle_grant_result(order, result, now)
         else:
@@ -454,19 +447,8 @@
         holds_lease = self._authority.may_move_ranges()
         for order in self.controller.tick(now, holds_lease):
             self._start_task(self._send_order(order, now))
-        self._log_handovers()
-
-    def _log_handovers(self) -> None:
-        for entry in self.controller.drain_handovers():
-            logger.bind(
-                service=self.service,
-                first=entry.first,
-                last=entry.last,
-                former=entry.former,
-                owner=entry.owner,
-                reason=entry.reason.value,
-                fence=entry.fence,
-            ).info("keys handed over")
+        for handover in self.controller.drain_handovers():
+            log_handover(self.service, handover)
 
     async def _call_server(
         self,
--- a/tests/runtime/fleet/test_leader_links.py
+++ b/tests/runtime/fleet/test_leader_links.py
@@ -21,11 +21,11 @@
 )
 from basilwick.core.dispatch.server_statements import LeavingServer
 from basilwick.runtime.fleet.change_sender import ChangeSender
-from basilwick.runtime.fleet.leader_links import (
-    LeaderLink,
+from basilwick.runtime.fleet.heartbeat_timing import (
     TransitDelay,
     compute_heartbeat_interval,
 )
+from basilwick.runtime.fleet.leader_links import LeaderLink
 from basilwick.transport.link import Link, decode_message
 
 
