Tell of a leader's resignation, and hand over to a much stronger instance

Instances noticed a resignation after 0.6 s of silence, and an instance with a weak link or few cores led from the first start until it failed.

test_leader_handover (two cases with the key-value service there and away) and test_leader_strength pass.

--- a/basilwick/core/deployment.py
+++ b/basilwick/core/deployment.py
@@ -49,6 +49,8 @@
         Interval in seconds between the registrations of a server.
     cores : float
         CPU cores available to the instance, 0 if not known.
+    link_mbps : float
+        Rate of the machine's network link in Mbit/s, 0 if not known.
     """
 
     instance: str
@@ -62,3 +64,4 @@
     heartbeat_interval_s: float = 1.0
     bounds: SiteBounds = SiteBounds()
     cores: float = 0.0
+    link_mbps: float = 0.0
--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -16,6 +16,7 @@
     "Hello",
     "ItemChange",
     "LeaderHeartbeat",
+    "LeaderResigned",
     "LeavingReport",
     "LinkMessage",
     "RateLimitReport",
@@ -63,12 +64,15 @@
         Processor cores of the instance, 0 if unknown.
     link_version : int
         Link version of the instance's build, 0 if it is below 3.
+    link_mbps : float
+        Rate of the instance's network link in Mbit/s, 0 if unknown.
     """
 
     instance: str
     data_centre: str
     cores: float = 0.0
     link_version: int = 0
+    link_mbps: float = 0.0
 
 
 @frozen
@@ -260,6 +264,19 @@
     sent_at: float = 0.0
 
 
+@frozen
+class LeaderResigned:
+    """Tells the linked instances that the leader resigns and removes its record.
+
+    Attributes
+    ----------
+    successor : str
+        Instance that is to lead next; empty for any.
+    """
+
+    successor: str = ""
+
+
 @frozen
 class ItemChange:
     """An item written to the platform's service; the value is None if it was removed.
@@ -345,6 +362,7 @@
     | Assigned
     | Refused
     | LeaderHeartbeat
+    | LeaderResigned
     | SharedChanges
     | TermEnded
     | TermQuery
--- a/basilwick/platform/deployment.py
+++ b/basilwick/platform/deployment.py
@@ -82,6 +82,7 @@
         reader.get_number("platform.heartbeatIntervalMs", 1.0, _MS),
         _read_bounds(reader),
         _read_cpu_cores(reader),
+        reader.get_number("localNode.limits.linkMbps", 0.0),
     )
     if reader.faults:
         raise InvalidSettingsError(path, reader.faults)
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from basilwick.core.dispatch.dispatcher import Dispatcher
+from basilwick.core.dispatch.leader_strength import LeaderHandover, Strength
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBudget
 from basilwick.core.dispatch.server_selector import CapacityShare
@@ -102,7 +103,16 @@
             self._timings.order_timeout_s,
             self._record_discarded,
         )
-        hello = Hello(deployment.instance, deployment.data_centre, deployment.cores)
+        hello = Hello(
+            deployment.instance,
+            deployment.data_centre,
+            deployment.cores,
+            link_mbps=deployment.link_mbps,
+        )
+        self._handover = LeaderHandover(
+            Strength(deployment.cores, deployment.link_mbps)
+        )
+        self._successor = ""
         self._listener = LinkListener(deployment.link_address, hello, read_clock)
         self._link = LeaderLink(hello, read_clock)
         self._link.list_rate_limits = self._view.list_rate_limits
@@ -275,6 +285,7 @@
 
     async def _stop_leading(self) -> None:
         self._dispatcher.set_leader_runner(None)
+        self._listener.announce_resignation(self._successor)
         self._listener.set_leader_runner(None)
         self.metrics.leading.set(0)
         role, self._role = self._role, None
@@ -303,10 +314,29 @@
             )
         if self._role is not None and self._role.deposed:
             await self._election.step_down("servers follow another leader")
+        await self._hand_over_to_stronger(read_clock())
         self._apply_limits()
         is_leader = self._role is not None
         return _LEADER_EXPIRY_INTERVAL_S if is_leader else _EXPIRY_INTERVAL_S
 
+    async def _hand_over_to_stronger(self, now: float) -> None:
+        """Resign if an instance on a much stronger machine can lead instead.
+
+        A successor writes its record to the key-value service, which must answer.
+        """
+        leads = self._role is not None and self._role.can_hand_over
+        linked = self._listener.list_strengths() if leads else {}
+        successor = self._handover.choose_successor(linked, now)
+        if successor is None:
+            return
+        self._handover.record_handover(now)
+        logger.bind(successor=successor).info("handing over the lead")
+        self._successor = successor
+        try:
+            await self._election.hand_over(successor)
+        finally:
+            self._successor = ""
+
     def _apply_limits(self) -> None:
         """Apply the configured timeouts to callers' connections."""
         configuration = self._view.configuration
--- a/basilwick/runtime/fleet/leader_election.py
+++ b/basilwick/runtime/fleet/leader_election.py
@@ -28,6 +28,7 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
+    from basilwick.core.dispatch.messages import LeaderResigned
     from basilwick.core.ranges.orders import OwnershipTimings
     from basilwick.core.types import MonotonicSeconds
     from basilwick.platform.key_value_store import KeyValueStore
@@ -53,6 +54,12 @@
 #: Time in seconds without a message from the leader after which an instance reads the
 #: leader record.
 _UNREACHABLE_AFTER_S = 0.6
+#: Time in seconds after a leader's resignation in which an instance reads the leader
+#: record at each check, and prefers the named successor.
+_RESIGNATION_S = 1.5
+#: Time in seconds for which an instance that handed over doesn't stand for election;
+#: its successor needs less than a second.
+_HANDOVER_PAUSE_S = 3.0
 
 
 class LeaderElection:
@@ -111,6 +118,8 @@
         self._term: LeaderTerm | None = None
         self._task: asyncio.Task[None] | None = None
         self._withdrawn = False
+        #: Local time from which this instance stands for election.
+        self._stands_from: MonotonicSeconds = float("-inf")
         #: Record of the leader that this instance follows, and identities of the
         #: records of earlier leaders.
         self._followed: LeaderRecord | None = None
@@ -176,6 +185,17 @@
         if self.leading:
             await self._resign(reason)
 
+    async def hand_over(self, successor: str) -> None:
+        """Resign in favour of another instance."""
+        if self.leading:
+            self._stands_from = self._clock() + _HANDOVER_PAUSE_S
+            await self._resign(f"{successor} is much stronger")
+
+    def _find_resignation(self) -> LeaderResigned | None:
+        """Return the resignation of the last leader if it is recent."""
+        recent = self._clock() - self._link.resigned_at < _RESIGNATION_S
+        return self._link.resignation if recent else None
+
     async def _run_step(self) -> float | None:
         """Renew the lease or check who leads; returns the pause in seconds."""
         try:
@@ -216,6 +236,8 @@
             await self._defer_to_stronger()
             if self._state.leader == leader and self._link.connection_refused:
                 await self._try_start_term(leader)
+        elif self._find_resignation() is not None:
+            await self._read_record()
         elif self._link.last_message_age_s > _UNREACHABLE_AFTER_S:
             await self._check_record_exists()
             await asyncio.sleep(_UNREACHABLE_AFTER_S * self._rng.uniform(0.5, 1.0))
@@ -240,8 +262,12 @@
 
     async def _defer_to_stronger(self) -> None:
         """Wait so that an instance with more cores becomes the leader first."""
+        resignation = self._find_resignation()
+        successor = resignation.successor if resignation is not None else ""
+        if successor == self._instance:
+            return
         delay_s = self._rng.uniform(0.0, _MAX_JITTER_S)
-        if self._cores < _STRONG_CORES_RATIO * self._link.max_cores:
+        if successor or self._cores < _STRONG_CORES_RATIO * self._link.max_cores:
             delay_s += _WEAKER_DELAY_S
         await asyncio.sleep(delay_s)
 
@@ -253,7 +279,8 @@
 
     async def _try_start_term(self, former_record: LeaderRecord | None) -> None:
         """Try to become the leader after a former one, or without any."""
-        if self._withdrawn or not self._role_closed.is_set():
+        paused = self._clock() < self._stands_from
+        if self._withdrawn or paused or not self._role_closed.is_set():
             return
         if former_record is not None:
             # If the former leader is still alive, it finds that its lease has ended.
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -9,6 +9,7 @@
 from attrs import evolve
 from loguru import logger
 
+from basilwick.core.dispatch.leader_strength import Strength
 from basilwick.core.dispatch.messages import (
     Assigned,
     CancelRequest,
@@ -17,6 +18,7 @@
     DispatchRequest,
     Hello,
     LeaderHeartbeat,
+    LeaderResigned,
     LeavingReport,
     RateLimitReport,
     Refused,
@@ -52,7 +54,7 @@
     from basilwick.core.dispatch.messages import LinkMessage
     from basilwick.core.dispatch.packed_changes import PackedChanges
     from basilwick.core.dispatch.server_statements import LeavingServer
-    from basilwick.core.types import MonotonicSeconds, ServerName
+    from basilwick.core.types import InstanceName, MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
 __all__ = ["LeaderLink", "LinkListener"]
@@ -138,6 +140,17 @@
         """Links of the other instances."""
         return list(self._links)
 
+    def list_strengths(self) -> dict[InstanceName, Strength]:
+        """Return the strength of each linked instance's machine."""
+        hellos = [link.peer_hello for link in self._links]
+        return {h.instance: Strength(h.cores, h.link_mbps) for h in hellos}
+
+    def announce_resignation(self, successor: InstanceName = "") -> None:
+        """Tell the linked instances, before their links close, to elect a leader."""
+        for link in self._links:
+            if reads_packed_changes(link):
+                link.send(LeaderResigned(successor))
+
     def set_leader_runner(self, runner: DispatchRunner | None) -> None:
         """Serve links with a runner while this instance leads; close them if None."""
         self._runner = runner
@@ -247,6 +260,9 @@
         self.on_packed_changes: Callable[[PackedChanges], None] | None = None
         self._parts = PartCollector()
         self._delay = TransitDelay()
+        #: Last resignation of a leader, and the local time at which it arrived.
+        self.resignation: LeaderResigned | None = None
+        self.resigned_at: MonotonicSeconds = float("-inf")
         #: Local time at which packed changes were requested or a part of them arrived.
         self.transfer_at: MonotonicSeconds = float("-inf")
         #: Returns the rate limits of servers that a new leader is told.
@@ -371,6 +387,8 @@
                 self.on_changes(message)
         elif isinstance(message, ChangesPart):
             self._collect_part(message)
+        elif isinstance(message, LeaderResigned):
+            self.resignation, self.resigned_at = message, self._last_message_at
         elif isinstance(message, TermQuery):
             self._answer_query(link, message)
         elif isinstance(message, Assigned | Refused):
--- a/basilwick/runtime/fleet/leader_role.py
+++ b/basilwick/runtime/fleet/leader_role.py
@@ -169,6 +169,11 @@
             await manager.close()
         await self.runner.close()
 
+    @property
+    def can_hand_over(self) -> bool:
+        """Whether the lease is renewed and no unknown leader may have led."""
+        return self._authority.may_move_ranges() and not self._authority.uncertain
+
     def find_owner(
         self, service: ServiceName, key: int, now: MonotonicSeconds
     ) -> KeyOwner:
--- a/tests/runtime/fleet/fleet_site.py
+++ b/tests/runtime/fleet/fleet_site.py
@@ -148,7 +148,7 @@
         self.servers.append(server)
         return server
 
-    async def add_instance(self, name, cores=0.0):
+    async def add_instance(self, name, cores=0.0, link_mbps=0.0):
         caller, ready, link, admin = (f"127.0.0.1:{p}" for p in find_free_ports(4))
         deployment = Deployment(
             name,
@@ -161,6 +161,7 @@
             self.store.address,
             bounds=SiteBounds(grace_period_s=2.0),
             cores=cores,
+            link_mbps=link_mbps,
         )
         instance = FleetInstance(deployment)
         await instance.start()
