--- a/basilwick/core/dispatch/messages.py
+++ b/basilwick/core/dispatch/messages.py
@@ -18,6 +18,7 @@
     "Hello",
     "ItemChange",
     "LeaderHeartbeat",
+    "LeaderResigned",
     "LeavingReport",
     "LinkMessage",
     "RateLimitReport",
@@ -25,6 +26,8 @@
     "SendFinished",
     "SendOutcome",
     "SharedChanges",
+    "TermEnded",
+    "TermQuery",
     "UNLIMITED_RATE",
 ]
 
@@ -63,12 +66,15 @@
         Processor cores of the instance, 0 if unknown.
     link_version : int
         Link version of the instance's build, 0 if it is below 3.
+    link_mbps : float
+        Rate of the instance's network link in Mbit/s, 0 if unknown.
     """
 
     instance: str
     data_centre: str
     cores: float = 0.0
     link_version: int = 0
+    link_mbps: float = 0.0
 
 
 @frozen
@@ -190,6 +196,37 @@
     rate_limit: float
 
 
+@frozen
+class TermQuery:
+    """Asks an instance whether an earlier term of its name and address has ended.
+
+    Attributes
+    ----------
+    writer : str
+        Random identity of the term.
+    instance, address, incarnation : str
+        Process that held it; see `ProcessIdentity`.
+    """
+
+    writer: str
+    instance: str
+    address: str
+    incarnation: str
+
+
+@frozen
+class TermEnded:
+    """Tells the leader that no order of an earlier term will be written any more.
+
+    Attributes
+    ----------
+    writer : str
+        Random identity of the term.
+    """
+
+    writer: str
+
+
 @frozen
 class Assigned:
     """Reply to a dispatch request: the server to send the request to."""
@@ -245,6 +282,19 @@
     sent_at: float = 0.0
 
 
+@frozen
+class LeaderResigned:
+    """Tells the linked instances that the leader resigns and removes its record.
+
+    Attributes
+    ----------
+    successor : str
+        Instance that is to lead next; empty for any.
+    """
+
+    successor: str = ""
+
+
 @frozen
 class ItemChange:
     """An item written to the platform's service; the value is None if it was removed.
@@ -330,5 +380,8 @@
     | Assigned
     | Refused
     | LeaderHeartbeat
+    | LeaderResigned
     | SharedChanges
+    | TermEnded
+    | TermQuery
 )
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -4,16 +4,19 @@
 
 import asyncio
 from random import Random
+from secrets import token_hex
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from basilwick.core.dispatch.dispatcher import Dispatcher
+from basilwick.core.dispatch.leader_strength import LeaderHandover, Strength
 from basilwick.core.dispatch.load_spread import measure_load_spread
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBudget
 from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import CallerLimits, SiteView
+from basilwick.core.ranges.earlier_terms import OwnTerms, ProcessIdentity
 from basilwick.core.ranges.orders import OwnershipTimings
 from basilwick.logs import log_request_line
 from basilwick.metrics import FleetMetrics
@@ -29,6 +32,7 @@
 from basilwick.runtime.fleet.loops import run_periodically
 from basilwick.runtime.fleet.site_watch import SiteWatch
 from basilwick.runtime.fleet.stored_state import StoredState
+from basilwick.runtime.fleet.term_evidence import EvidenceSources
 from basilwick.transport.exchange import Answer
 from basilwick.transport.http_server import HttpServer, RawResponse
 from basilwick.transport.server_client import ServerClient
@@ -102,11 +106,33 @@
             self._timings.order_timeout_s,
             self._record_discarded,
         )
-        hello = Hello(deployment.instance, deployment.data_centre, deployment.cores)
+        hello = Hello(
+            deployment.instance,
+            deployment.data_centre,
+            deployment.cores,
+            link_mbps=deployment.link_mbps,
+        )
+        self._handover = LeaderHandover(
+            Strength(deployment.cores, deployment.link_mbps)
+        )
+        self._successor = ""
         self._listener = LinkListener(deployment.link_address, hello, read_clock)
         self._link = LeaderLink(hello, read_clock)
         self._link.list_rate_limits = self._view.list_rate_limits
         self._link.list_leaving = self._view.list_leaving
+        # The link starts after the process has bound its addresses, so no other process
+        # at them is left when a question about its terms is answered.
+        process = ProcessIdentity(
+            deployment.instance, deployment.link_address, token_hex(8)
+        )
+        self._evidence = EvidenceSources(
+            OwnTerms(process),
+            self._listener.query_term,
+            lambda: self._watch.get_known_revision(),
+            self.metrics.count_evidence,
+        )
+        self._link.knows_term_end = self._evidence.own_terms.knows_end
+        self._listener.on_term_ended = self._record_term_end
         self._watch = SiteWatch(
             self._store,
             self._view,
@@ -200,6 +226,8 @@
         self._caller_server.announce_close()
         await self._drain()
         await self._election.close()
+        # Orders end before the addresses are free for the next process.
+        await self._order_client.close()
         await self._watch.close()
         await self._link.close()
         await self._fallback.close()
@@ -207,7 +235,6 @@
         for server in (self._caller_server, self._ready_server, self._metrics_server):
             await server.close()
         await self._client.close()
-        await self._order_client.close()
         await self._store.close()
         logger.bind(instance=self._deployment.instance).info("instance stopped")
 
@@ -253,6 +280,7 @@
             term,
             lambda: self._listener.instance_count,
             self._link.instance_count,
+            self._evidence,
         )
         await self._role.start()
         self._dispatcher.set_leader_runner(self._role.runner)
@@ -261,12 +289,17 @@
 
     async def _stop_leading(self) -> None:
         self._dispatcher.set_leader_runner(None)
+        self._listener.announce_resignation(self._successor)
         self._listener.set_leader_runner(None)
         self.metrics.leading.set(0)
         role, self._role = self._role, None
         if role is not None:
             await role.close()
 
+    def _record_term_end(self, writer: str) -> None:
+        if self._role is not None:
+            self._role.record_term_end(writer)
+
     async def _run_maintenance(self) -> float:
         """Apply what is due: removals, returns, the end of a term, changed limits.
 
@@ -285,11 +318,30 @@
             )
         if self._role is not None and self._role.deposed:
             await self._election.step_down("servers follow another leader")
+        await self._hand_over_to_stronger(read_clock())
         self._apply_limits()
         self._sample_loads()
         is_leader = self._role is not None
         return _LEADER_EXPIRY_INTERVAL_S if is_leader else _EXPIRY_INTERVAL_S
 
+    async def _hand_over_to_stronger(self, now: float) -> None:
+        """Resign if an instance on a much stronger machine can lead instead.
+
+        A successor writes its record to the key-value service, which must answer.
+        """
+        leads = self._role is not None and self._role.can_hand_over
+        linked = self._listener.list_strengths() if leads else {}
+        successor = self._handover.choose_successor(linked, now)
+        if successor is None:
+            return
+        self._handover.record_handover(now)
+        logger.bind(successor=successor).info("handing over the lead")
+        self._successor = successor
+        try:
+            await self._election.hand_over(successor)
+        finally:
+            self._successor = ""
+
     def _apply_limits(self) -> None:
         """Apply the configured timeouts to callers' connections."""
         configuration = self._view.configuration
--- a/basilwick/runtime/fleet/leader_links.py
+++ b/basilwick/runtime/fleet/leader_links.py
@@ -6,9 +6,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from attrs import define, evolve
+from attrs import evolve
 from loguru import logger
 
+from basilwick.core.dispatch.leader_strength import Strength
 from basilwick.core.dispatch.messages import (
     Assigned,
     CancelRequest,
@@ -17,18 +18,27 @@
     DispatchRequest,
     Hello,
     LeaderHeartbeat,
+    LeaderResigned,
     LeavingReport,
     RateLimitReport,
     Refused,
     SendFinished,
     SharedChanges,
+    TermEnded,
+    TermQuery,
 )
 from basilwick.core.dispatch.packed_changes import PartCollector
+from basilwick.core.ranges.earlier_terms import ProcessIdentity, Term
 from basilwick.runtime.fleet.change_sender import (
     PACKED_CHANGES_VERSION,
     ChangeSender,
     reads_packed_changes,
 )
+from basilwick.runtime.fleet.heartbeat_timing import (
+    MIN_HEARTBEAT_INTERVAL_S,
+    TransitDelay,
+    compute_heartbeat_interval,
+)
 from basilwick.runtime.fleet.loops import run_periodically
 from basilwick.transport.link import (
     LINK_VERSION,
@@ -44,16 +54,11 @@
     from basilwick.core.dispatch.messages import LinkMessage
     from basilwick.core.dispatch.packed_changes import PackedChanges
     from basilwick.core.dispatch.server_statements import LeavingServer
-    from basilwick.core.types import MonotonicSeconds, ServerName
+    from basilwick.core.types import InstanceName, MonotonicSeconds, ServerName
     from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
 
-__all__ = ["LeaderLink", "LinkListener", "TransitDelay"]
+__all__ = ["LeaderLink", "LinkListener"]
 
-#: Shortest interval in seconds between the leader's heartbeats. The interval grows with
-#: the number of linked instances, which limits the total rate of heartbeats.
-MIN_HEARTBEAT_INTERVAL_S = 0.1
-_MAX_HEARTBEATS_PER_S = 600.0
-_MAX_HEARTBEAT_INTERVAL_S = 0.4
 #: Time in seconds beyond the heartbeat interval after which a silent leader counts as
 #: unreachable.
 _HEARTBEAT_GRACE_S = 0.25
@@ -68,27 +73,6 @@
 _IDLE_CHECK_INTERVAL_S = 0.3
 
 
-@define(eq=False)
-class TransitDelay:
-    """Time for which heartbeats of a link are held up on their way.
-
-    The clocks of two instances differ, so only the time beyond that of the fastest
-    heartbeat is known.
-    """
-
-    _shortest_s: float = float("inf")
-
-    def estimate(
-        self, heartbeat: LeaderHeartbeat, arrived_at: MonotonicSeconds
-    ) -> float:
-        """Return the delay in seconds beyond that of the fastest heartbeat."""
-        if heartbeat.sent_at == 0.0:
-            return 0.0
-        offset_s = arrived_at - heartbeat.sent_at
-        self._shortest_s = min(self._shortest_s, offset_s)
-        return offset_s - self._shortest_s
-
-
 class LinkListener:
     """Accepts links of other instances and serves them while this instance leads.
 
@@ -120,6 +104,9 @@
             lambda heartbeat: heartbeat
         )
 
+        #: Called with the identity of an earlier term that has ended.
+        self.on_term_ended: Callable[[str], None] = lambda _: None
+
     @property
     def instance_count(self) -> int:
         """Number of linked instances, including this one."""
@@ -153,6 +140,17 @@
         """Links of the other instances."""
         return list(self._links)
 
+    def list_strengths(self) -> dict[InstanceName, Strength]:
+        """Return the strength of each linked instance's machine."""
+        hellos = [link.peer_hello for link in self._links]
+        return {h.instance: Strength(h.cores, h.link_mbps) for h in hellos}
+
+    def announce_resignation(self, successor: InstanceName = "") -> None:
+        """Tell the linked instances, before their links close, to elect a leader."""
+        for link in self._links:
+            if reads_packed_changes(link):
+                link.send(LeaderResigned(successor))
+
     def set_leader_runner(self, runner: DispatchRunner | None) -> None:
         """Serve links with a runner while this instance leads; close them if None."""
         self._runner = runner
@@ -168,6 +166,20 @@
             run_periodically("beats", 0.0, self._send_heartbeats)
         )
 
+    def query_term(self, term: Term) -> None:
+        """Ask the instance that held an earlier term, if linked, whether it ended.
+
+        An instance of a build without link version 3 may not ignore the message.
+        """
+        process = term.process
+        query = TermQuery(
+            term.writer, process.instance, process.address, process.incarnation
+        )
+        for link in self._links:
+            named = link.peer_hello.instance == process.instance
+            if named and reads_packed_changes(link):
+                link.send(query)
+
     def _handle_message(self, link: Link, message: LinkMessage) -> None:
         runner = self._runner
         if runner is None:
@@ -183,6 +195,8 @@
             runner.record_leaving(message)
         elif isinstance(message, CancelRequest):
             runner.cancel(link, message.number)
+        elif isinstance(message, TermEnded):
+            self.on_term_ended(message.writer)
         elif isinstance(message, ChangesRequest):
             self.changes.request_missing(link, message.after)
         elif isinstance(message, Hello):
@@ -207,14 +221,6 @@
         return heartbeat.interval_s
 
 
-def compute_heartbeat_interval(instance_count: int) -> float:
-    """Return the interval in seconds between heartbeats to a number of instances."""
-    return min(
-        _MAX_HEARTBEAT_INTERVAL_S,
-        max(MIN_HEARTBEAT_INTERVAL_S, instance_count / _MAX_HEARTBEATS_PER_S),
-    )
-
-
 def _send_decision(link: Link, decision: DispatchDecision | None) -> None:
     if decision is not None:
         link.send(decision)
@@ -254,10 +260,15 @@
         self.on_packed_changes: Callable[[PackedChanges], None] | None = None
         self._parts = PartCollector()
         self._delay = TransitDelay()
+        #: Last resignation of a leader, and the local time at which it arrived.
+        self.resignation: LeaderResigned | None = None
+        self.resigned_at: MonotonicSeconds = float("-inf")
         #: Local time at which packed changes were requested or a part of them arrived.
         self.transfer_at: MonotonicSeconds = float("-inf")
         #: Returns the rate limits of servers that a new leader is told.
         self.list_rate_limits: Callable[[], dict[ServerName, float]] = dict
+        #: Returns whether an earlier term is known here to have ended.
+        self.knows_term_end: Callable[[Term], bool] = lambda _: False
         #: Returns the servers that have stated that they leave; a new leader is told.
         self.list_leaving: Callable[[], list[LeavingServer]] = list
 
@@ -376,6 +387,10 @@
                 self.on_changes(message)
         elif isinstance(message, ChangesPart):
             self._collect_part(message)
+        elif isinstance(message, LeaderResigned):
+            self.resignation, self.resigned_at = message, self._last_message_at
+        elif isinstance(message, TermQuery):
+            self._answer_query(link, message)
         elif isinstance(message, Assigned | Refused):
             reply = self._replies.pop(message.number, None)
             if reply is None:
@@ -383,6 +398,12 @@
             else:
                 reply(message)
 
+    def _answer_query(self, link: Link, query: TermQuery) -> None:
+        """State the end of a term if it is certain; otherwise the leader asks again."""
+        process = ProcessIdentity(query.instance, query.address, query.incarnation)
+        if self.knows_term_end(Term(query.writer, process)):
+            link.send(TermEnded(query.writer))
+
     def _collect_part(self, part: ChangesPart) -> None:
         self.transfer_at = self._last_message_at
         try:
--- a/basilwick/transport/link.py
+++ b/basilwick/transport/link.py
@@ -28,12 +28,15 @@
     Hello,
     ItemChange,
     LeaderHeartbeat,
+    LeaderResigned,
     LeavingReport,
     RateLimitReport,
     Refused,
     SendFinished,
     SendOutcome,
     SharedChanges,
+    TermEnded,
+    TermQuery,
 )
 
 if TYPE_CHECKING:
@@ -60,13 +63,16 @@
     "cancel": CancelRequest,
     "changes": ChangesPart,
     "done": SendFinished,
+    "ended": TermEnded,
     "hello": Hello,
     "leaving": LeavingReport,
     "limit": RateLimitReport,
     "missing": ChangesRequest,
     "refused": Refused,
+    "resigned": LeaderResigned,
     "send": Assigned,
     "shared": SharedChanges,
+    "term": TermQuery,
 }
 _TAGS = {message_type: tag for tag, message_type in _MESSAGE_TYPES.items()}
 _FIELD_NAMES = {
