Plan moves for uneven demand that must gain more than they cost

Cause: the planner moved keys with little regard to their price, cut out ranges without a bound, and let the busiest keys share slow servers.

Change: while the configuration has bulk routes, a move must gain more requests than its keys and the further ranges cost, keys that fill a server get a fast one alone, and small quiet ranges are joined. A play without a network measures the result.

--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -15,6 +15,7 @@
 from basilwick.core.ranges.key_load import KeyLoad, list_between
 from basilwick.core.ranges.placement import Move, OwnedSpan, ServerCapacity, plan_moves
 from basilwick.core.ranges.table import KEY_COUNT, Phase
+from basilwick.core.ranges.uneven_demand import find_excess_keys, plan_uneven_moves
 
 if TYPE_CHECKING:
     from basilwick.core.dispatch.dispatcher import Dispatcher
@@ -35,9 +36,6 @@
 #: neighbour.
 _MAX_MERGE_RATE = 3.0
 _MAX_MERGE_KEYS = 128
-#: For bulk routes, largest number of keys of such a range as a part of the mean size at
-#: the largest number of ranges. The first shares of the servers are larger.
-_MAX_MERGE_FRACTION = 0.4
 #: Utilization up to which a server may receive ranges for a merge.
 _MAX_MERGE_UTILIZATION = 0.8
 #: Load that is expected on the keys of a range beyond what was measured, for all keys
@@ -61,12 +59,16 @@
         Source of the measured latencies of servers.
     load : KeyLoad
         Request rates of the keys.
+    excess_keys : dict
+        Keys with more requests than any server can serve, with the requests per second
+        that one can; as of the last plan, and only for sites with bulk routes.
     """
 
     service: ServiceName
     view: SiteView
     dispatcher: Dispatcher
     load: KeyLoad = field(factory=KeyLoad)
+    excess_keys: dict[int, float] = field(factory=dict)
     #: Utilization of each server that may receive keys, as of the last plan.
     _utilization: dict[ServerName, float] = field(factory=dict)
     #: For bulk routes: ranges and rates of the last plan, and the load of the servers
@@ -145,8 +147,7 @@
             for c in self._list_capacities(now)
             if c.server != excluded
         ]
-        ranges = () if self._table is None else self._table.ranges
-        failing = {r.owner for r in ranges if r.failures or r.phase is Phase.EXPIRING}
+        failing = self._list_failing()
         return [r for r in receivers if r.server not in failing] or receivers
 
     def list_eligible_owners(self, now: MonotonicSeconds) -> list[ServerName]:
@@ -155,6 +156,9 @@
 
     def plan(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
         """Return the moves that balance the load and merge small ranges."""
+        if self.view.has_bulk_routes:
+            return self._plan_uneven(table, now)
+        self.excess_keys = {}
         capacities = self._list_capacities(now)
         spans = [
             OwnedSpan(key_range.first, key_range.last, key_range.owner)
@@ -163,25 +167,52 @@
         ]
         rates = self.load.list_rates(now)
         self._update_utilization(table, rates, capacities)
-        if self.view.has_bulk_routes:
-            self._table, self._rates = table, rates
-            self._assigned_rates = self._sum_loads(table, rates)
         moves = plan_moves(spans, rates, capacities)
         if len(table.ranges) > _MAX_RANGES_PER_SERVER * len(capacities):
             moves += self._plan_merges(spans, rates, moves)
         return moves
 
-    def _sum_loads(
-        self, table: RangeTable, rates: list[tuple[int, float]]
-    ) -> dict[ServerName, float]:
-        """Return the rate of the keys that each server owns or is about to own."""
-        load: dict[ServerName, float] = {}
+    def _plan_uneven(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
+        """Return the moves that are worth their cost under uneven demand."""
+        rates = self.load.list_rates(now)
+        self._table, self._rates = table, rates
+        failing = self._list_failing()
+        # A cold server gets the keys that its warm-up rate suffices for.
+        capacities = [
+            capacity
+            for capacity in self._list_capacities(now, include_cold=True)
+            if capacity.server not in failing
+        ]
+        spans = []
+        fixed: dict[ServerName, float] = {}
+        self._assigned_rates = {}
+        # Neighbours of one owner are merged once they are settled.
+        range_count, previous = 0, None
         for key_range in table.ranges:
             owner = key_range.target or key_range.owner
-            if owner is not None:
-                keys = list_between(rates, key_range.first, key_range.last)
-                load[owner] = load.get(owner, 0.0) + sum(rate for _, rate in keys)
-        return load
+            range_count += owner is None or owner != previous
+            previous = owner
+            if owner is None:
+                continue
+            keys = list_between(rates, key_range.first, key_range.last)
+            rate = sum(rate for _, rate in keys)
+            self._assigned_rates[owner] = self._assigned_rates.get(owner, 0.0) + rate
+            if key_range.settled:
+                spans.append(OwnedSpan(key_range.first, key_range.last, owner))
+            else:
+                fixed[owner] = fixed.get(owner, 0.0) + rate
+        self.excess_keys = find_excess_keys(rates, capacities)
+        return plan_uneven_moves(spans, rates, capacities, fixed, range_count)
+
+    def _list_failing(self) -> set[ServerName]:
+        """Return the servers that don't answer for a range that they have."""
+        ranges = () if self._table is None else self._table.ranges
+        return {
+            key_range.owner
+            for key_range in ranges
+            if key_range.owner is not None
+            and (key_range.failures or key_range.phase is Phase.EXPIRING)
+        }
 
     def _plan_merges(
         self,
@@ -194,12 +225,9 @@
         Fewer ranges save work of the leader, which renews the grant of each range.
         """
         moved_spans = {(move.first, move.last) for move in moves}
-        servers = max(1, len(self._utilization))
-        max_merges = max(_MIN_MERGE_LIMIT, int(_MERGES_PER_SERVER * servers))
-        max_keys = _MAX_MERGE_KEYS
-        if self.view.has_bulk_routes:
-            mean_keys = KEY_COUNT / (_MAX_RANGES_PER_SERVER * servers)
-            max_keys = min(max_keys, _MAX_MERGE_FRACTION * mean_keys)
+        max_merges = max(
+            _MIN_MERGE_LIMIT, int(_MERGES_PER_SERVER * len(self._utilization))
+        )
         merges: list[Move] = []
         just_merged = False
         for lower, upper in pairwise(spans):
@@ -216,7 +244,9 @@
             overlaps = any(
                 source.first <= a and b <= source.last for a, b in moved_spans
             )
-            small = rate <= _MAX_MERGE_RATE and source.last - source.first < max_keys
+            small = (
+                rate <= _MAX_MERGE_RATE and source.last - source.first < _MAX_MERGE_KEYS
+            )
             if small and not busy and not overlaps:
                 merges.append(Move(source.first, source.last, target))
                 just_merged = True
@@ -224,18 +254,24 @@
                     break
         return merges
 
-    def _list_candidates(self, now: MonotonicSeconds) -> list[ServerEntry]:
+    def _list_candidates(
+        self, now: MonotonicSeconds, include_cold: bool = False
+    ) -> list[ServerEntry]:
         entries = self.view.list_servers(self.service)
         unblocked = [
             entry
             for entry in entries
             if now >= self.dispatcher.get_load(entry.name).blocked_until
         ]
+        if include_cold:
+            return unblocked or entries
         warm = [entry for entry in unblocked if not self.view.is_cold(entry.name, now)]
         return warm or unblocked or entries
 
-    def _list_capacities(self, now: MonotonicSeconds) -> list[ServerCapacity]:
-        entries = self._list_candidates(now)
+    def _list_capacities(
+        self, now: MonotonicSeconds, include_cold: bool = False
+    ) -> list[ServerCapacity]:
+        entries = self._list_candidates(now, include_cold)
         latencies_s = self._list_latencies(entries)
         # A server without measurements counts as the fastest one, so that it gets work
         # and is measured. With bulk routes it counts as a typical one, because a slow
--- /dev/null
+++ b/basilwick/core/ranges/uneven_demand.py
@@ -0,0 +1,356 @@
+"""Plans moves for demand that is uneven and changes within seconds.
+
+It is used for sites with bulk routes. Requests of different lengths compete there for
+few slots, so that a server with more than its share of the demand refuses requests
+while others are idle. Each move must gain more requests than its keys and the further
+ranges cost.
+"""
+
+from __future__ import annotations
+
+from math import sqrt
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from basilwick.core.ranges.key_load import list_between
+from basilwick.core.ranges.placement import Move, OwnedSpan
+from basilwick.core.ranges.table import KEY_COUNT
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from basilwick.core.ranges.placement import ServerCapacity
+    from basilwick.core.types import ServerName
+
+__all__ = ["find_excess_keys", "plan_uneven_moves"]
+
+#: Utilization, relative to the mean, above which a server gives keys away, and the
+#: utilization up to which it gives none away: a free slot is then found soon.
+_REBALANCE_RATIO = 1.15
+_MIN_REBALANCE_UTILIZATION = 0.45
+#: Time in seconds over which rates are measured, and the standard deviations by which a
+#: utilization must exceed the bound, so that random fluctuation moves no keys.
+_MEASUREMENT_WINDOW_S = 6.0
+_SIGNIFICANCE_SIGMAS = 1.0
+#: Share of further requests that a server at full utilization can't serve in time.
+_LOSS_AT_CAPACITY = 0.5
+#: Requests that a move of all keys costs, and the time in seconds for which a busy key
+#: stays busy. Their quotient is the rate of gained requests that makes up for the move.
+_FULL_MOVE_COST_REQUESTS = 95.0
+_LOAD_DURATION_S = 3.0
+#: Requests per second that a further range must gain, for the work of its renewals.
+_RANGE_COST = 0.05
+#: Ranges per server from which ranges with little load are joined to a neighbour, and
+#: from which only busy keys may be cut out of a range.
+_JOIN_FROM_RANGES = 4.0
+_MAX_RANGES = 4.5
+#: A key fills a server if it needs this share of it.
+_FILLING_SHARE = 0.5
+#: A key that fills a server moves to one that is faster by this factor, if its own
+#: would have a higher utilization than this.
+_FASTER = 1.15
+_COMFORTABLE_UTILIZATION = 0.7
+#: Moves of one plan for each server, and at least.
+_MOVES_PER_SERVER = 0.5
+_MIN_MOVES = 6
+
+
+@define(eq=False)
+class _Server:
+    """Server during planning, with the spans that may move.
+
+    Attributes
+    ----------
+    load : float
+        Requests per second of its keys after the planned moves.
+    filling_key : int or None
+        Key for which the server is kept free.
+    """
+
+    name: ServerName
+    capacity: float
+    load: float = 0.0
+    filling_key: int | None = None
+    spans: list[_Span] = field(factory=list)
+
+    @property
+    def utilization(self) -> float:
+        return self.load / self.capacity
+
+
+@define(eq=False)
+class _Span:
+    first: int
+    last: int
+    keys: Sequence[tuple[int, float]]
+
+
+@define(eq=False)
+class _Plan:
+    """Planned moves, with the state of the servers after them."""
+
+    servers: dict[ServerName, _Server]
+    range_count: int
+    max_moves: int
+    moves: list[Move] = field(factory=list)
+
+    @property
+    def full(self) -> bool:
+        return len(self.moves) >= self.max_moves
+
+    def move(
+        self, source: _Server, span: _Span, first: int, last: int, target: _Server
+    ) -> None:
+        """Plan the move of a part of a span; the remaining keys may still move."""
+        rate = sum(rate for _, rate in list_between(span.keys, first, last))
+        source.load -= rate
+        target.load += rate
+        self.moves.append(Move(first, last, target.name))
+        source.spans.remove(span)
+        if span.first < first:
+            keys = list_between(span.keys, span.first, first - 1)
+            source.spans.append(_Span(span.first, first - 1, keys))
+            self.range_count += 1
+        if last < span.last:
+            keys = list_between(span.keys, last + 1, span.last)
+            source.spans.append(_Span(last + 1, span.last, keys))
+            self.range_count += 1
+
+
+def find_excess_keys(
+    rates: Sequence[tuple[int, float]], capacities: Sequence[ServerCapacity]
+) -> dict[int, float]:
+    """Return the keys that no server can serve alone, with the rate that one can."""
+    fastest = max((c.requests_per_s for c in capacities), default=float("inf"))
+    return {key: fastest for key, rate in rates if rate > fastest}
+
+
+def plan_uneven_moves(
+    spans: Sequence[OwnedSpan],
+    rates: Sequence[tuple[int, float]],
+    capacities: Sequence[ServerCapacity],
+    fixed_loads: dict[ServerName, float],
+    range_count: int,
+) -> list[Move]:
+    """Return moves that gain more requests than they cost.
+
+    Parameters
+    ----------
+    spans : sequence of OwnedSpan
+        Spans that may move, in order.
+    rates : sequence of (int, float)
+        Keys in order with their requests per second.
+    capacities : sequence of ServerCapacity
+        Servers that may receive keys.
+    fixed_loads : dict
+        Requests per second of keys that servers own, or are about to own, and that
+        can't move now.
+    range_count : int
+        Number of ranges of the service.
+    """
+    if len(capacities) < 2:
+        return []
+    servers = {
+        c.server: _Server(c.server, c.requests_per_s, fixed_loads.get(c.server, 0.0))
+        for c in capacities
+    }
+    max_moves = max(_MIN_MOVES, int(_MOVES_PER_SERVER * len(servers)))
+    plan = _Plan(servers, range_count, max_moves)
+    for span in spans:
+        server = servers.get(span.owner)
+        if server is not None:
+            keys = list_between(rates, span.first, span.last)
+            server.spans.append(_Span(span.first, span.last, keys))
+            server.load += sum(rate for _, rate in keys)
+    _place_filling_keys(plan)
+    mean = _compute_mean_utilization(plan)
+    _relieve_servers(plan, mean)
+    if plan.range_count > _JOIN_FROM_RANGES * len(servers):
+        _join_ranges(plan, spans, rates, max(_MIN_REBALANCE_UTILIZATION, mean))
+    return plan.moves
+
+
+def _place_filling_keys(plan: _Plan) -> None:
+    """Give each key that fills a server one of its own, the busiest the fastest."""
+    typical = sorted(s.capacity for s in plan.servers.values())
+    least_rate = _FILLING_SHARE * typical[len(typical) // 2]
+    filling = [
+        (rate, key, server, span)
+        for server in plan.servers.values()
+        for span in server.spans
+        for key, rate in span.keys
+        if rate >= least_rate or rate >= _FILLING_SHARE * server.capacity
+    ]
+    filling.sort(key=lambda entry: entry[:2], reverse=True)
+    for rate, key, server, _ in filling:
+        free = [s for s in plan.servers.values() if s.filling_key is None]
+        stays = server.filling_key is None
+        utilization = rate / server.capacity
+        if not free or (stays and utilization <= _COMFORTABLE_UTILIZATION):
+            if stays:
+                server.filling_key = key
+            continue
+        # The other keys of the target have to leave, which counts half as much.
+        target = min(free, key=lambda s: (rate + 0.5 * s.load) / s.capacity)
+        faster = target.capacity >= _FASTER * server.capacity
+        if target is server or (stays and not faster) or plan.full:
+            if stays:
+                server.filling_key = key
+            continue
+        span = next(s for s in server.spans if s.first <= key <= s.last)
+        plan.move(server, span, key, key, target)
+        target.filling_key = key
+
+
+def _compute_mean_utilization(plan: _Plan) -> float:
+    """Return the utilization of all servers at a perfect balance.
+
+    Servers that are filled by a key that can't be divided are left out.
+    """
+    servers = [s for s in plan.servers.values() if s.filling_key is None]
+    capacity = sum(s.capacity for s in servers)
+    return sum(s.load for s in servers) / capacity if capacity else 1.0
+
+
+def _relieve_servers(plan: _Plan, mean: float) -> None:
+    bound = max(_MIN_REBALANCE_UTILIZATION, _REBALANCE_RATIO * mean)
+    donors = [s for s in plan.servers.values() if s.spans and s.utilization > bound]
+    while donors and not plan.full:
+        donor = max(donors, key=lambda s: s.utilization)
+        error = _SIGNIFICANCE_SIGMAS * sqrt(donor.load / _MEASUREMENT_WINDOW_S)
+        certain = (donor.load - error) / donor.capacity > bound
+        if not certain or not _relieve(plan, donor, mean):
+            donors.remove(donor)
+
+
+def _relieve(plan: _Plan, donor: _Server, mean: float) -> bool:
+    """Move keys of a busy server to the least utilized one; returns whether it gains.
+
+    The receiver is filled to the mean at most, or to halfway between the two.
+    """
+    receivers = [
+        s for s in plan.servers.values() if s is not donor and s.filling_key is None
+    ]
+    if not receivers:
+        return False
+    receiver = min(receivers, key=lambda s: s.utilization)
+    gap = donor.utilization - receiver.utilization
+    if gap <= 0.0:
+        return False
+    # Both servers have the same utilization after a move of this rate.
+    even = gap / (1.0 / donor.capacity + 1.0 / receiver.capacity)
+    spare = (mean - receiver.utilization) * receiver.capacity
+    max_rate = min(even, max(spare, 0.5 * even))
+    if donor.filling_key is not None:
+        max_rate = max(max_rate, spare)
+    gain = _estimate_loss(donor.utilization - 0.5 * max_rate / donor.capacity)
+    gain -= _estimate_loss(receiver.utilization + 0.5 * max_rate / receiver.capacity)
+    best = None
+    for span in donor.spans:
+        found = _find_best_part(plan, span, max_rate, gain, donor.filling_key)
+        if found is not None and (best is None or found[0] > best[0]):
+            best = *found, span
+    if best is None:
+        return False
+    _, first, last, span = best
+    plan.move(donor, span, first, last, receiver)
+    return True
+
+
+def _estimate_loss(utilization: float) -> float:
+    """Return the share of further requests that are not served in time."""
+    return min(1.0, _LOSS_AT_CAPACITY * max(0.0, utilization) ** 4)
+
+
+def _find_best_part(
+    plan: _Plan, span: _Span, max_rate: float, gain: float, kept_key: int | None
+) -> tuple[float, int, int] | None:
+    """Return benefit, first key and last key of the best part of a span to move."""
+    keys = span.keys
+    key_cost = _FULL_MOVE_COST_REQUESTS / _LOAD_DURATION_S / KEY_COUNT
+    may_cut = plan.range_count < _MAX_RANGES * len(plan.servers)
+    best = None
+    start = 0
+    total = 0.0
+    for end, (key, rate) in enumerate(keys):
+        if key == kept_key:
+            start, total = end + 1, 0.0
+            continue
+        total += rate
+        while total > max_rate and start <= end:
+            total -= keys[start][1]
+            start += 1
+        if start > end:
+            continue
+        # A part up to the end of the span makes fewer ranges than one in between.
+        firsts = (keys[start][0], span.first) if not start else (keys[start][0],)
+        lasts = (key, span.last) if end == len(keys) - 1 else (key,)
+        for first in firsts:
+            for last in lasts:
+                cuts = (first > span.first) + (last < span.last)
+                if cuts and not may_cut and last - first > 0:
+                    continue
+                benefit = gain * total - key_cost * (last - first + 1)
+                benefit -= _RANGE_COST * cuts
+                if benefit > 0.0 and (best is None or benefit > best[0]):
+                    best = benefit, first, last
+    return best
+
+
+def _join_ranges(
+    plan: _Plan,
+    spans: Sequence[OwnedSpan],
+    rates: Sequence[tuple[int, float]],
+    max_utilization: float,
+) -> None:
+    """Move ranges with few keys and little load to the owner of a neighbour.
+
+    An owner that would then be busy enough to give keys away gets none.
+    """
+    moved = [(move.first, move.last) for move in plan.moves]
+    moved.sort()
+    mean_keys = KEY_COUNT / (_JOIN_FROM_RANGES * len(plan.servers))
+    candidates = []
+    for index, span in enumerate(spans):
+        size = span.last - span.first + 1
+        if size >= 0.5 * mean_keys or span.owner not in plan.servers:
+            continue
+        lower = spans[index - 1] if index else None
+        upper = spans[index + 1] if index + 1 < len(spans) else None
+        for neighbour in (lower, upper):
+            if neighbour is None or neighbour.owner == span.owner:
+                continue
+            if neighbour.last + 1 != span.first and span.last + 1 != neighbour.first:
+                continue
+            both = lower is not None and upper is not None
+            both = both and lower.owner == upper.owner
+            rate = sum(r for _, r in list_between(rates, span.first, span.last))
+            cost = (size + 200.0 * rate) / (1 + both)
+            candidates.append((cost, index, neighbour, both))
+    candidates.sort(key=lambda candidate: candidate[:2])
+    touched: set[int] = set()
+    enough = _JOIN_FROM_RANGES * len(plan.servers)
+    limit = plan.max_moves + max(_MIN_MOVES, plan.max_moves // 2)
+    for _, index, neighbour, both in candidates:
+        if len(plan.moves) >= limit or plan.range_count <= enough:
+            break
+        span = spans[index]
+        target = plan.servers.get(neighbour.owner)
+        around = {span.first, neighbour.first}
+        # A neighbour of which a part moves may not stay one range with this one.
+        first = min(span.first, neighbour.first)
+        last = max(span.last, neighbour.last)
+        overlaps = any(a <= last and first <= b for a, b in moved)
+        if target is None or target.filling_key is not None or overlaps:
+            continue
+        rate = sum(r for _, r in list_between(rates, span.first, span.last))
+        after = (target.load + rate) / target.capacity
+        if touched & around or after > max_utilization:
+            continue
+        source = plan.servers[span.owner]
+        source.load -= rate
+        target.load += rate
+        touched |= around
+        plan.range_count -= 1 + both
+        plan.moves.append(Move(span.first, span.last, target.name))
