--- a/basilwick/core/ranges/key_load.py
+++ b/basilwick/core/ranges/key_load.py
@@ -22,6 +22,8 @@
 #: Deviation of the short average from the long one, in standard deviations at a steady
 #: load, above which the load counts as changed.
 _CHANGE_SIGMAS = 3.0
+#: Number of neighbouring keys whose common rate is measured as well.
+_BLOCK_KEYS = 256
 #: Requests per second below which a key is dropped from the measurement.
 _MIN_RATE = 0.05
 
@@ -55,6 +57,12 @@
         measured_s : float
             Time in seconds since the first request of any key.
         """
+        return self.estimate_with_change(now, measured_s)[0]
+
+    def estimate_with_change(
+        self, now: MonotonicSeconds, measured_s: float
+    ) -> tuple[float, bool]:
+        """Return the present rate, and whether it changed lately."""
         elapsed_s = now - self.updated_at
         long_average = (
             self.long_average
@@ -65,11 +73,8 @@
         deviation = sqrt(
             max(long_average, 1.0 / _LONG_WINDOW_S) / (2.0 * _SHORT_WINDOW_S)
         )
-        return (
-            short_average
-            if abs(short_average - long_average) > _CHANGE_SIGMAS * deviation
-            else long_average
-        )
+        changed = abs(short_average - long_average) > _CHANGE_SIGMAS * deviation
+        return (short_average if changed else long_average), changed
 
 
 def _compute_window_coverage(measured_s: float, window_s: float) -> float:
@@ -86,19 +91,16 @@
     """
 
     _rates: dict[int, _KeyRate] = field(factory=dict)
+    #: Rates of blocks of neighbouring keys.
+    _block_rates: dict[int, _KeyRate] = field(factory=dict)
     _first_request_at: MonotonicSeconds | None = None
 
     def record(self, key: int, now: MonotonicSeconds) -> None:
         """Count one request."""
         if self._first_request_at is None:
             self._first_request_at = now
-        key_rate = self._rates.get(key)
-        if key_rate is None:
-            self._rates[key] = _KeyRate(
-                1.0 / _LONG_WINDOW_S, 1.0 / _SHORT_WINDOW_S, now
-            )
-        else:
-            key_rate.record(now)
+        _record(self._rates, key, now)
+        _record(self._block_rates, key // _BLOCK_KEYS, now)
 
     def list_rates(self, now: MonotonicSeconds) -> list[tuple[int, float]]:
         """Return the keys in order with their requests per second."""
@@ -115,6 +117,38 @@
         rates.sort()
         return rates
 
+    def list_rates_by_block(self, now: MonotonicSeconds) -> list[tuple[int, float]]:
+        """Return the keys in order with rates that follow a change of their block.
+
+        Many keys of moderate rate that become busy together change too little, each by
+        itself, to be told from random fluctuation within a second.
+        """
+        rates = self.list_rates(now)
+        factors = {}
+        totals: dict[int, float] = {}
+        for key, rate in rates:
+            block = key // _BLOCK_KEYS
+            totals[block] = totals.get(block, 0.0) + rate
+        measured_s = now - (self._first_request_at or now)
+        for block, block_rate in list(self._block_rates.items()):
+            if block not in totals:
+                del self._block_rates[block]
+                continue
+            rate, changed = block_rate.estimate_with_change(now, measured_s)
+            if changed:
+                factors[block] = rate / totals[block]
+        if not factors:
+            return rates
+        return [(k, rate * factors.get(k // _BLOCK_KEYS, 1.0)) for k, rate in rates]
+
+
+def _record(rates: dict[int, _KeyRate], index: int, now: MonotonicSeconds) -> None:
+    rate = rates.get(index)
+    if rate is None:
+        rates[index] = _KeyRate(1.0 / _LONG_WINDOW_S, 1.0 / _SHORT_WINDOW_S, now)
+    else:
+        rate.record(now)
+
 
 def list_between(
     rates: Sequence[tuple[int, float]], first: int, last: int
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -174,7 +174,7 @@
 
     def _plan_uneven(self, table: RangeTable, now: MonotonicSeconds) -> list[Move]:
         """Return the moves that are worth their cost under uneven demand."""
-        rates = self.load.list_rates(now)
+        rates = self.load.list_rates_by_block(now)
         self._table, self._rates = table, rates
         failing = self._list_failing()
         # A cold server gets the keys that its warm-up rate suffices for.
--- a/basilwick/core/ranges/uneven_demand.py
+++ b/basilwick/core/ranges/uneven_demand.py
@@ -27,12 +27,12 @@
 
 #: Utilization, relative to the mean, above which a server gives keys away, and the
 #: utilization up to which it gives none away: a free slot is then found soon.
-_REBALANCE_RATIO = 1.15
+_REBALANCE_RATIO = 1.2
 _MIN_REBALANCE_UTILIZATION = 0.45
 #: Time in seconds over which rates are measured, and the standard deviations by which a
 #: utilization must exceed the bound, so that random fluctuation moves no keys.
 _MEASUREMENT_WINDOW_S = 6.0
-_SIGNIFICANCE_SIGMAS = 1.0
+_SIGNIFICANCE_SIGMAS = 1.5
 #: Share of further requests that a server at full utilization can't serve in time.
 _LOSS_AT_CAPACITY = 0.5
 #: Requests that a move of all keys costs, and the time in seconds for which a busy key
@@ -49,7 +49,7 @@
 _FILLING_SHARE = 0.5
 #: A key that fills a server moves to one that is faster by this factor, if its own
 #: would have a higher utilization than this.
-_FASTER = 1.15
+_FASTER = 1.3
 _COMFORTABLE_UTILIZATION = 0.7
 #: Moves of one plan for each server, and at least.
 _MOVES_PER_SERVER = 0.5
@@ -193,8 +193,10 @@
             continue
         # The other keys of the target have to leave, which counts half as much.
         target = min(free, key=lambda s: (rate + 0.5 * s.load) / s.capacity)
-        faster = target.capacity >= _FASTER * server.capacity
-        if target is server or (stays and not faster) or plan.full:
+        gains = rate / target.capacity < server.utilization
+        if stays:
+            gains = target.capacity >= _FASTER * server.capacity
+        if target is server or not gains or plan.full:
             if stays:
                 server.filling_key = key
             continue
--- a/tests/core/ranges/demand_play.py
+++ b/tests/core/ranges/demand_play.py
@@ -211,7 +211,10 @@
             elif server.budget >= 1.0 and not server.lost:
                 server.budget -= cost
                 self.served[server.name] += cost
-                self.loads[server.name].steady_latency_s = 2 / server.rate
+                latency_s = 2.0 / rate
+                load = self.loads[server.name]
+                load.steady_latency_s = load.steady_latency_s or latency_s
+                load.steady_latency_s += 0.03 * (latency_s - load.steady_latency_s)
             else:
                 waiting.append((key, deadline))
         server.queue = waiting
