Split the planner of uneven demand, and show the keys beyond any server

Change: the state of a plan and the joins are modules of their own, and OwnerSelector.excess_keys has those keys with the rate that their owner can serve.

--- a/basilwick/core/ranges/key_load.py
+++ b/basilwick/core/ranges/key_load.py
@@ -124,12 +124,14 @@
         itself, to be told from random fluctuation within a second.
         """
         rates = self.list_rates(now)
+        if self._first_request_at is None:
+            return rates
+        measured_s = now - self._first_request_at
         factors = {}
         totals: dict[int, float] = {}
         for key, rate in rates:
             block = key // _BLOCK_KEYS
             totals[block] = totals.get(block, 0.0) + rate
-        measured_s = now - (self._first_request_at or now)
         for block, block_rate in list(self._block_rates.items()):
             if block not in totals:
                 del self._block_rates[block]
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -61,7 +61,7 @@
         Request rates of the keys.
     excess_keys : dict
         Keys with more requests than any server can serve, with the requests per second
-        that one can; as of the last plan, and only for sites with bulk routes.
+        that their owner can; as of the last plan, and only for sites with bulk routes.
     """
 
     service: ServiceName
@@ -201,7 +201,9 @@
                 spans.append(OwnedSpan(key_range.first, key_range.last, owner))
             else:
                 fixed[owner] = fixed.get(owner, 0.0) + rate
-        self.excess_keys = find_excess_keys(rates, capacities)
+        self.excess_keys = find_excess_keys(
+            rates, capacities, lambda key: table.find(key).owner
+        )
         return plan_uneven_moves(spans, rates, capacities, fixed, range_count)
 
     def _list_failing(self) -> set[ServerName]:
--- a/basilwick/core/ranges/uneven_demand.py
+++ b/basilwick/core/ranges/uneven_demand.py
@@ -11,16 +11,15 @@
 from math import sqrt
 from typing import TYPE_CHECKING
 
-from attrs import define, field
-
+from basilwick.core.ranges.demand_plan import DemandPlan, PlannedServer, PlannedSpan
 from basilwick.core.ranges.key_load import list_between
-from basilwick.core.ranges.placement import Move, OwnedSpan
+from basilwick.core.ranges.range_joins import join_ranges
 from basilwick.core.ranges.table import KEY_COUNT
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
-    from basilwick.core.ranges.placement import ServerCapacity
+    from basilwick.core.ranges.placement import Move, OwnedSpan, ServerCapacity
     from basilwick.core.types import ServerName
 
 __all__ = ["find_excess_keys", "plan_uneven_moves"]
@@ -41,89 +40,33 @@
 _LOAD_DURATION_S = 3.0
 #: Requests per second that a further range must gain, for the work of its renewals.
 _RANGE_COST = 0.05
-#: Ranges per server from which ranges with little load are joined to a neighbour, and
-#: from which only busy keys may be cut out of a range.
-_JOIN_FROM_RANGES = 4.0
-_MAX_RANGES = 4.5
+#: A plan cuts only single keys out of ranges if it has more ranges than wanted by this
+#: factor.
+_EXCESS_RANGES_FACTOR = 1.2
 #: A key fills a server if it needs this share of it.
 _FILLING_SHARE = 0.5
 #: A key that fills a server moves to one that is faster by this factor, if its own
 #: would have a higher utilization than this.
 _FASTER = 1.3
 _COMFORTABLE_UTILIZATION = 0.7
-#: Moves of one plan for each server, and at least.
-_MOVES_PER_SERVER = 0.5
-_MIN_MOVES = 6
-
-
-@define(eq=False)
-class _Server:
-    """Server during planning, with the spans that may move.
-
-    Attributes
-    ----------
-    load : float
-        Requests per second of its keys after the planned moves.
-    filling_key : int or None
-        Key for which the server is kept free.
-    """
-
-    name: ServerName
-    capacity: float
-    load: float = 0.0
-    filling_key: int | None = None
-    spans: list[_Span] = field(factory=list)
-
-    @property
-    def utilization(self) -> float:
-        return self.load / self.capacity
-
-
-@define(eq=False)
-class _Span:
-    first: int
-    last: int
-    keys: Sequence[tuple[int, float]]
-
-
-@define(eq=False)
-class _Plan:
-    """Planned moves, with the state of the servers after them."""
-
-    servers: dict[ServerName, _Server]
-    range_count: int
-    max_moves: int
-    moves: list[Move] = field(factory=list)
-
-    @property
-    def full(self) -> bool:
-        return len(self.moves) >= self.max_moves
-
-    def move(
-        self, source: _Server, span: _Span, first: int, last: int, target: _Server
-    ) -> None:
-        """Plan the move of a part of a span; the remaining keys may still move."""
-        rate = sum(rate for _, rate in list_between(span.keys, first, last))
-        source.load -= rate
-        target.load += rate
-        self.moves.append(Move(first, last, target.name))
-        source.spans.remove(span)
-        if span.first < first:
-            keys = list_between(span.keys, span.first, first - 1)
-            source.spans.append(_Span(span.first, first - 1, keys))
-            self.range_count += 1
-        if last < span.last:
-            keys = list_between(span.keys, last + 1, span.last)
-            source.spans.append(_Span(last + 1, span.last, keys))
-            self.range_count += 1
 
 
 def find_excess_keys(
-    rates: Sequence[tuple[int, float]], capacities: Sequence[ServerCapacity]
+    rates: Sequence[tuple[int, float]],
+    capacities: Sequence[ServerCapacity],
+    find_owner: Callable[[int], ServerName | None],
 ) -> dict[int, float]:
-    """Return the keys that no server can serve alone, with the rate that one can."""
-    fastest = max((c.requests_per_s for c in capacities), default=float("inf"))
-    return {key: fastest for key, rate in rates if rate > fastest}
+    """Return the keys that no server can serve alone.
+
+    The values are the requests per second that the present owners can serve.
+    """
+    by_name = {c.server: c.requests_per_s for c in capacities}
+    fastest = max(by_name.values(), default=float("inf"))
+    return {
+        key: by_name.get(find_owner(key), fastest)
+        for key, rate in rates
+        if rate > fastest
+    }
 
 
 def plan_uneven_moves(
@@ -152,26 +95,27 @@
     if len(capacities) < 2:
         return []
     servers = {
-        c.server: _Server(c.server, c.requests_per_s, fixed_loads.get(c.server, 0.0))
+        c.server: PlannedServer(
+            c.server, c.requests_per_s, fixed_loads.get(c.server, 0.0)
+        )
         for c in capacities
     }
-    max_moves = max(_MIN_MOVES, int(_MOVES_PER_SERVER * len(servers)))
-    plan = _Plan(servers, range_count, max_moves)
+    plan = DemandPlan(servers, range_count)
     for span in spans:
         server = servers.get(span.owner)
         if server is not None:
             keys = list_between(rates, span.first, span.last)
-            server.spans.append(_Span(span.first, span.last, keys))
+            server.spans.append(PlannedSpan(span.first, span.last, keys))
             server.load += sum(rate for _, rate in keys)
     _place_filling_keys(plan)
     mean = _compute_mean_utilization(plan)
     _relieve_servers(plan, mean)
-    if plan.range_count > _JOIN_FROM_RANGES * len(servers):
-        _join_ranges(plan, spans, rates, max(_MIN_REBALANCE_UTILIZATION, mean))
+    if plan.range_count > plan.wanted_ranges:
+        join_ranges(plan, spans, rates, max(_MIN_REBALANCE_UTILIZATION, mean))
     return plan.moves
 
 
-def _place_filling_keys(plan: _Plan) -> None:
+def _place_filling_keys(plan: DemandPlan) -> None:
     """Give each key that fills a server one of its own, the busiest the fastest."""
     typical = sorted(s.capacity for s in plan.servers.values())
     least_rate = _FILLING_SHARE * typical[len(typical) // 2]
@@ -205,7 +149,7 @@
         target.filling_key = key
 
 
-def _compute_mean_utilization(plan: _Plan) -> float:
+def _compute_mean_utilization(plan: DemandPlan) -> float:
     """Return the utilization of all servers at a perfect balance.
 
     Servers that are filled by a key that can't be divided are left out.
@@ -215,7 +159,7 @@
     return sum(s.load for s in servers) / capacity if capacity else 1.0
 
 
-def _relieve_servers(plan: _Plan, mean: float) -> None:
+def _relieve_servers(plan: DemandPlan, mean: float) -> None:
     bound = max(_MIN_REBALANCE_UTILIZATION, _REBALANCE_RATIO * mean)
     donors = [s for s in plan.servers.values() if s.spans and s.utilization > bound]
     while donors and not plan.full:
@@ -226,7 +170,7 @@
             donors.remove(donor)
 
 
-def _relieve(plan: _Plan, donor: _Server, mean: float) -> bool:
+def _relieve(plan: DemandPlan, donor: PlannedServer, mean: float) -> bool:
     """Move keys of a busy server to the least utilized one; returns whether it gains.
 
     The receiver is filled to the mean at most, or to halfway between the two.
@@ -266,12 +210,16 @@
 
 
 def _find_best_part(
-    plan: _Plan, span: _Span, max_rate: float, gain: float, kept_key: int | None
+    plan: DemandPlan,
+    span: PlannedSpan,
+    max_rate: float,
+    gain: float,
+    kept_key: int | None,
 ) -> tuple[float, int, int] | None:
     """Return benefit, first key and last key of the best part of a span to move."""
     keys = span.keys
     key_cost = _FULL_MOVE_COST_REQUESTS / _LOAD_DURATION_S / KEY_COUNT
-    may_cut = plan.range_count < _MAX_RANGES * len(plan.servers)
+    may_cut = plan.range_count < _EXCESS_RANGES_FACTOR * plan.wanted_ranges
     best = None
     start = 0
     total = 0.0
@@ -298,61 +246,3 @@
                 if benefit > 0.0 and (best is None or benefit > best[0]):
                     best = benefit, first, last
     return best
-
-
-def _join_ranges(
-    plan: _Plan,
-    spans: Sequence[OwnedSpan],
-    rates: Sequence[tuple[int, float]],
-    max_utilization: float,
-) -> None:
-    """Move ranges with few keys and little load to the owner of a neighbour.
-
-    An owner that would then be busy enough to give keys away gets none.
-    """
-    moved = [(move.first, move.last) for move in plan.moves]
-    moved.sort()
-    mean_keys = KEY_COUNT / (_JOIN_FROM_RANGES * len(plan.servers))
-    candidates = []
-    for index, span in enumerate(spans):
-        size = span.last - span.first + 1
-        if size >= 0.5 * mean_keys or span.owner not in plan.servers:
-            continue
-        lower = spans[index - 1] if index else None
-        upper = spans[index + 1] if index + 1 < len(spans) else None
-        for neighbour in (lower, upper):
-            if neighbour is None or neighbour.owner == span.owner:
-                continue
-            if neighbour.last + 1 != span.first and span.last + 1 != neighbour.first:
-                continue
-            both = lower is not None and upper is not None
-            both = both and lower.owner == upper.owner
-            rate = sum(r for _, r in list_between(rates, span.first, span.last))
-            cost = (size + 200.0 * rate) / (1 + both)
-            candidates.append((cost, index, neighbour, both))
-    candidates.sort(key=lambda candidate: candidate[:2])
-    touched: set[int] = set()
-    enough = _JOIN_FROM_RANGES * len(plan.servers)
-    limit = plan.max_moves + max(_MIN_MOVES, plan.max_moves // 2)
-    for _, index, neighbour, both in candidates:
-        if len(plan.moves) >= limit or plan.range_count <= enough:
-            break
-        span = spans[index]
-        target = plan.servers.get(neighbour.owner)
-        around = {span.first, neighbour.first}
-        # A neighbour of which a part moves may not stay one range with this one.
-        first = min(span.first, neighbour.first)
-        last = max(span.last, neighbour.last)
-        overlaps = any(a <= last and first <= b for a, b in moved)
-        if target is None or target.filling_key is not None or overlaps:
-            continue
-        rate = sum(r for _, r in list_between(rates, span.first, span.last))
-        after = (target.load + rate) / target.capacity
-        if touched & around or after > max_utilization:
-            continue
-        source = plan.servers[span.owner]
-        source.load -= rate
-        target.load += rate
-        touched |= around
-        plan.range_count -= 1 + both
-        plan.moves.append(Move(span.first, span.last, target.name))
