Avoid failing owners, tell blocks of keys apart sooner, and test uneven demand

Cause: the ranges of lost servers went to others that were lost with them, because a lost server without ranges looked idle. A cluster of busy keys was still seen late.

The rate of 512 neighbouring keys counts as changed from two standard deviations.

--- a/basilwick/core/ranges/key_load.py
+++ b/basilwick/core/ranges/key_load.py
@@ -23,7 +23,10 @@
 #: load, above which the load counts as changed.
 _CHANGE_SIGMAS = 3.0
 #: Number of neighbouring keys whose common rate is measured as well.
-_BLOCK_KEYS = 256
+_BLOCK_KEYS = 512
+#: The same as `_CHANGE_SIGMAS` for a block. Missing a change of many keys costs more
+#: than a move for a fluctuation.
+_BLOCK_CHANGE_SIGMAS = 2.0
 #: Requests per second below which a key is dropped from the measurement.
 _MIN_RATE = 0.05
 
@@ -60,7 +63,10 @@
         return self.estimate_with_change(now, measured_s)[0]
 
     def estimate_with_change(
-        self, now: MonotonicSeconds, measured_s: float
+        self,
+        now: MonotonicSeconds,
+        measured_s: float,
+        change_sigmas: float = _CHANGE_SIGMAS,
     ) -> tuple[float, bool]:
         """Return the present rate, and whether it changed lately."""
         elapsed_s = now - self.updated_at
@@ -73,7 +79,7 @@
         deviation = sqrt(
             max(long_average, 1.0 / _LONG_WINDOW_S) / (2.0 * _SHORT_WINDOW_S)
         )
-        changed = abs(short_average - long_average) > _CHANGE_SIGMAS * deviation
+        changed = abs(short_average - long_average) > change_sigmas * deviation
         return (short_average if changed else long_average), changed
 
 
@@ -136,7 +142,9 @@
             if block not in totals:
                 del self._block_rates[block]
                 continue
-            rate, changed = block_rate.estimate_with_change(now, measured_s)
+            rate, changed = block_rate.estimate_with_change(
+                now, measured_s, _BLOCK_CHANGE_SIGMAS
+            )
             if changed:
                 factors[block] = rate / totals[block]
         if not factors:
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from basilwick.core.ranges.failing_owners import FailingOwners
 from basilwick.core.ranges.first_placement import (
     SpareCapacity,
     plan_interleaved_shares,
@@ -74,6 +75,7 @@
     #: For bulk routes: ranges and rates of the last plan, and the load of the servers
     #: with the keys that were given to them since.
     _table: RangeTable | None = None
+    _failing: FailingOwners = field(factory=FailingOwners)
     _rates: list[tuple[int, float]] = field(factory=list)
     _assigned_rates: dict[ServerName, float] = field(factory=dict)
 
@@ -137,7 +139,7 @@
     ) -> list[SpareCapacity]:
         """Return the servers that may take over a range, with their load.
 
-        A server that doesn't answer for a range it has is left out if others are left:
+        A server that doesn't answer for its ranges is left out if others are left:
         servers are often lost together, and are not noticed at the same moment.
         """
         receivers = [
@@ -147,8 +149,12 @@
             for c in self._list_capacities(now)
             if c.server != excluded
         ]
-        failing = self._list_failing()
-        return [r for r in receivers if r.server not in failing] or receivers
+        if self._table is not None:
+            self._failing.update(self._table.ranges, now)
+        answering = [
+            r for r in receivers if not self._failing.is_avoided(r.server, now)
+        ]
+        return answering or receivers
 
     def list_eligible_owners(self, now: MonotonicSeconds) -> list[ServerName]:
         """Return the servers that may receive ranges."""
@@ -176,12 +182,12 @@
         """Return the moves that are worth their cost under uneven demand."""
         rates = self.load.list_rates_by_block(now)
         self._table, self._rates = table, rates
-        failing = self._list_failing()
+        self._failing.update(table.ranges, now)
         # A cold server gets the keys that its warm-up rate suffices for.
         capacities = [
             capacity
             for capacity in self._list_capacities(now, include_cold=True)
-            if capacity.server not in failing
+            if not self._failing.is_avoided(capacity.server, now)
         ]
         spans = []
         fixed: dict[ServerName, float] = {}
@@ -206,16 +212,6 @@
         )
         return plan_uneven_moves(spans, rates, capacities, fixed, range_count)
 
-    def _list_failing(self) -> set[ServerName]:
-        """Return the servers that don't answer for a range that they have."""
-        ranges = () if self._table is None else self._table.ranges
-        return {
-            key_range.owner
-            for key_range in ranges
-            if key_range.owner is not None
-            and (key_range.failures or key_range.phase is Phase.EXPIRING)
-        }
-
     def _plan_merges(
         self,
         spans: list[OwnedSpan],
--- a/tests/core/ranges/demand_play.py
+++ b/tests/core/ranges/demand_play.py
@@ -35,6 +35,7 @@
 MAX_WAIT_S = 0.6
 COLD_KEYS_S = 5.0
 COLD_COST = 4.0
+REGISTRATION_S = 4.0
 SPEEDS = (0.6, 1.0, 1.4)
 
 
@@ -92,6 +93,7 @@
             divider=self.selector,
         )
         self.in_flight = []
+        self.expiries = []
         self.waiting = []
         self.cold_until = {}
         self.background = [self.rng.randrange(KEY_COUNT) for _ in range(1500)]
@@ -130,9 +132,10 @@
             self.rates[key] = self.rates.get(key, 0.0) + self.hot_share * total
 
     def lose(self, names):
-        """Let servers end without a word; their registrations stay for a while."""
+        """Let servers end without a word; their registrations expire after a while."""
         for name in names:
             self.play[name].lost = True
+        self.expiries.append((self.now + REGISTRATION_S, names))
 
     def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
@@ -142,6 +145,10 @@
         self._step += 1
         if self._step % round(self.change_s / STEP_S) == 0:
             self.change_demand()
+        for at, names in self.expiries:
+            if at <= self.now:
+                for name in names:
+                    self.view.remove_server(name, self.now)
         self.answer_orders()
         if self._step % PLAN_STEPS == 0:
             moves = self.selector.plan(self.controller.table, self.now)
@@ -203,6 +210,8 @@
         rate = 1.4 * server.rate / (3.0 if slow else 1.0)
         rate = min(rate, self.view.get_max_rate(server.name, self.now))
         server.budget = min(2.0, server.budget + rate * STEP_S)
+        if server.lost and server.queue:
+            self.loads[server.name].blocked_until = self.now + 1.0
         waiting = deque()
         for key, deadline in server.queue:
             cost = COLD_COST if self.now < self.cold_until.get(key, 0.0) else 1.0
--- a/tests/core/ranges/test_key_load.py
+++ b/tests/core/ranges/test_key_load.py
@@ -57,3 +57,18 @@
     load = KeyLoad()
     load.record(7, 0.0)
     assert load.list_rates(60.0) == []
+
+
+def test_neighbours_that_become_busy_together_are_seen_within_a_second():
+    """None of them changes more than random fluctuation does, but all together do."""
+    load = KeyLoad()
+    rng = Random(5)
+    now = 0.0
+    while (now := now + rng.expovariate(60.0)) < 10.9:
+        load.record(rng.randrange(65_536), now)
+        if now > 10.0:
+            load.record(20_480 + rng.randrange(60) * 7, now)
+    total = sum(
+        rate for key, rate in load.list_rates_by_block(10.9) if key // 512 == 40
+    )
+    assert total > 36.0
--- a/tests/core/ranges/test_owner_selector.py
+++ b/tests/core/ranges/test_owner_selector.py
@@ -9,6 +9,7 @@
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.retry_window import RetryBudget
 from basilwick.core.dispatch.site import (
+    Route,
     ServerEntry,
     ServiceSpec,
     SiteConfiguration,
@@ -16,6 +17,7 @@
 )
 from basilwick.core.ranges.owner_selector import OwnerSelector
 from basilwick.core.ranges.table import KEY_COUNT, KeyRange, Phase, RangeTable
+from basilwick.core.types import Operation
 
 
 @pytest.fixture
@@ -75,3 +77,54 @@
 def test_a_range_without_another_server_keeps_its_owner(selection):
     selection.view.remove_server("m1", 0.0)
     assert selection.choose_owner("m0") is None
+
+
+@pytest.fixture
+def bulk_selection(selection):
+    route = Route(
+        "r", "h", "/", Operation.IDEMPOTENT, (), 1.0, 0.5, 0, 1, large_responses=True
+    )
+    services = selection.view.configuration.services
+    selection.view.apply_configuration(SiteConfiguration(2, (route,), services))
+    for index in range(2, 12):
+        entry = ServerEntry(f"m{index}", "maps", "m:1", "a", 4, False, 0.0, 1)
+        selection.view.apply_server(entry, 0.0)
+    return selection
+
+
+def test_first_shares_are_not_joined(bulk_selection):
+    """Joining quiet ranges gave a cluster of busy keys to one owner again."""
+    shares = bulk_selection.divide_unowned(0, KEY_COUNT - 1, 0.0)
+    ranges = [
+        KeyRange(
+            share.first,
+            share.last,
+            share.target,
+            phase=Phase.OWNED,
+            owner_reached=True,
+            serving_until=9.0,
+        )
+        for share in shares
+    ]
+    assert len(ranges) > 24
+    assert bulk_selection.plan(RangeTable(ranges), 0.0) == []
+
+
+def test_lost_ranges_get_owners_by_their_measured_rate(bulk_selection):
+    """Each range counted as the same load, so one server got the busiest ones."""
+    for step in range(600):
+        bulk_selection.load.record(step * 7 % 500, step / 60)
+    table = make_table([f"m{index}" for index in range(12)], 500)
+    bulk_selection.plan(table, 10.0)
+    shares = bulk_selection.plan_shares(0, 499, "m0", True, 10.0)
+    assert len({share.target for share in shares}) > 2
+    targets = {
+        bulk_selection.plan_shares(0, 499, "m0", False, 10.0)[0].target
+        for _ in range(3)
+    }
+    assert len(targets) == 3
+
+
+def test_without_bulk_routes_ranges_are_not_divided(selection):
+    assert selection.divide_unowned(0, KEY_COUNT - 1, 0.0) is None
+    assert selection.plan_shares(0, KEY_COUNT - 1, "m0", True, 0.0) is None
