--- a/basilwick/core/ranges/demand_plan.py
+++ b/basilwick/core/ranges/demand_plan.py
@@ -19,7 +19,7 @@
 #: Ranges from which those with little load are joined to a neighbour: so many for each
 #: server, but no more than a leader on one core can renew, unless each server then had
 #: fewer than the least number.
-_RANGES_PER_SERVER = 4.0
+_RANGES_PER_SERVER = 5.0
 _RENEWABLE_RANGES = 500
 _MIN_RANGES_PER_SERVER = 2.5
 #: Moves of one plan for each server, and at least.
--- a/basilwick/core/ranges/first_placement.py
+++ b/basilwick/core/ranges/first_placement.py
@@ -25,10 +25,10 @@
 
 #: Number of shares that each server gets of the whole key space. It is below the number
 #: of ranges at which small ranges are merged, so that busy keys can still be cut out.
-_SHARES_PER_SERVER = 3
+_SHARES_PER_SERVER = 4
 #: Largest number of shares of the whole key space, unless there are more servers. The
 #: leader renews the grant of each range more than once a second.
-_MAX_SHARES = 320
+_MAX_SHARES = 400
 #: Strides through the list of servers, as fractions of its length. No two are equal or
 #: add up to one, so that servers that are neighbours in one pass rarely are in another.
 _STRIDE_FRACTIONS = (0.382, 0.236, 0.146)
