Divide busy lost ranges also where there are many ranges

Cause: after the loss of a third of the servers there are more ranges than four per remaining server, so that no lost range was divided.

--- a/basilwick/core/ranges/first_placement.py
+++ b/basilwick/core/ranges/first_placement.py
@@ -32,9 +32,6 @@
 #: Strides through the list of servers, as fractions of its length. No two are equal or
 #: add up to one, so that servers that are neighbours in one pass rarely are in another.
 _STRIDE_FRACTIONS = (0.382, 0.236, 0.146)
-#: Share of a server's capacity that one share of a divided range should need. Less than
-#: that does not overload a server with an ordinary load.
-_SHARE_UTILIZATION = 0.15
 #: Largest number of shares of one divided range.
 _MAX_DIVISION = 8
 
@@ -105,7 +102,8 @@
     rates: Sequence[tuple[int, float]],
     unseen_rate: float,
     servers: Sequence[SpareCapacity],
-    max_shares: int,
+    divisible: bool,
+    share_utilization: float,
 ) -> list[Move]:
     """Divide a span among the servers that have spare capacity, and add to their load.
 
@@ -119,17 +117,24 @@
         Requests per second to expect for each key in addition to its rate.
     servers : sequence of SpareCapacity
         Servers that may take over keys.
-    max_shares : int
-        Largest number of shares.
+    divisible : bool
+        Whether there may be more than one share.
+    share_utilization : float
+        Share of a server's capacity that one share of the span should need.
     """
     if not servers:
         return []
     total = sum(rate for _, rate in rates) + unseen_rate * (last - first + 1)
     mean_capacity = sum(s.requests_per_s for s in servers) / len(servers)
-    wanted = ceil(total / (_SHARE_UTILIZATION * mean_capacity))
-    shares = max(1, min(wanted, max_shares, _MAX_DIVISION, len(servers)))
+    shares = 1
+    if divisible:
+        wanted = ceil(total / (share_utilization * mean_capacity))
+        shares = max(1, min(wanted, _MAX_DIVISION, len(servers)))
+    parts = [(first, last, total)]
+    if shares > 1:
+        parts = _cut(first, last, rates, unseen_rate, total / shares)
     moves: list[Move] = []
-    for start, end, rate in _cut(first, last, rates, unseen_rate, total / shares):
+    for start, end, rate in parts:
         best = min(servers, key=lambda s: (s.load + rate) / s.requests_per_s)
         best.load += rate
         if moves and moves[-1].target == best.server:
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -44,6 +44,11 @@
 #: capacity. Otherwise one server would get all ranges without recent requests.
 _UNSEEN_LOAD = 0.25
 _MIN_UNSEEN_LOAD = 0.1
+#: Share of a server's capacity that one share of a divided range should need. Less than
+#: that doesn't overload a server with an ordinary load; if there are many ranges to
+#: renew already, only ranges that would overload it are divided.
+_SHARE_UTILIZATION = 0.15
+_CROWDED_SHARE_UTILIZATION = 0.3
 
 
 @define(eq=False)
@@ -118,17 +123,16 @@
         capacity = sum(server.requests_per_s for server in servers)
         demand = sum(rate for _, rate in self._rates)
         unseen = max(_UNSEEN_LOAD * demand, _MIN_UNSEEN_LOAD * capacity)
-        spare_ranges = 0
-        if divisible and self._table is not None:
-            spare_ranges = _MAX_RANGES_PER_SERVER * len(servers)
-            spare_ranges -= len(self._table.ranges)
+        max_ranges = _MAX_RANGES_PER_SERVER * len(servers)
+        crowded = self._table is not None and len(self._table.ranges) >= max_ranges
         moves = plan_spare_shares(
             first,
             last,
             list_between(self._rates, first, last),
             unseen / KEY_COUNT,
             servers,
-            1 + max(0, spare_ranges) if divisible else 1,
+            divisible,
+            _CROWDED_SHARE_UTILIZATION if crowded else _SHARE_UTILIZATION,
         )
         for server in servers:
             self._assigned_rates[server.server] = server.load
