--- a/basilwick/core/dispatch/wait_queues.py
+++ b/basilwick/core/dispatch/wait_queues.py
@@ -31,6 +31,8 @@
         Local time at which it was assigned to that server.
     ended : bool
         Whether it was refused or withdrawn. Queues may still contain it.
+    returned : bool
+        Whether its caller was refused before and came back when it was told to.
     """
 
     id: Hashable
@@ -41,6 +43,7 @@
     server: ServerName | None = None
     assigned_at: MonotonicSeconds = 0.0
     ended: bool = False
+    returned: bool = False
 
 
 @define(eq=False)
--- /dev/null
+++ b/tests/core/dispatch/test_admission.py
@@ -0,0 +1,120 @@
+"""Admission of requests at a site with bulk routes."""
+
+from __future__ import annotations
+
+import pytest
+from overload_harness import Overload, make_dispatcher, make_request
+
+from basilwick.core.dispatch.messages import (
+    Assigned,
+    Refused,
+    SendFinished,
+    SendOutcome,
+)
+
+LATENCY_S = 0.05
+
+
+def fill(dispatcher, count, now=0.0, first=0, **changes):
+    for number in range(first, first + count):
+        dispatcher.submit(number, make_request(number, **changes), now)
+
+
+def finish(dispatcher, number, now, latency_s=LATENCY_S):
+    done = SendFinished(number, SendOutcome.OK, latency_s)
+    return dispatcher.finish(number, done, now)
+
+
+def test_no_caller_waits_for_its_deadline_in_vain():
+    """Late requests waited for 1.06 s behind on-time arrivals and were refused."""
+    waits = {}
+    for bulk in (False, True):
+        load = Overload(make_dispatcher(servers=4, bulk=bulk)[0])
+        load.play(1.6 * 4 * 2 / LATENCY_S, 8.0)
+        waits[bulk] = load.waits_in_vain
+    assert max(waits[False]) > 1.0
+    assert max(waits[True]) < 0.8
+    assert sum(waits[True]) / len(waits[True]) < 0.4
+
+
+def test_a_late_request_is_refused_at_once_while_on_time_arrivals_fill_the_servers():
+    load = Overload(make_dispatcher(servers=4)[0])
+    load.play(1.3 * 4 * 2 / LATENCY_S, 3.0, priorities=(1,))
+    request = make_request(9_000, target_s=-0.1, left_s=0.4)
+    decision = load.dispatcher.submit(9_000, request, load.now)
+    assert isinstance(decision, Refused)
+    assert decision.retry_after_s <= 0.4 / 3
+
+
+def test_a_late_request_waits_while_it_will_be_reached():
+    dispatcher, _ = make_dispatcher(servers=1)
+    fill(dispatcher, 2)
+    late = make_request(2, target_s=-0.1, left_s=0.5)
+    assert dispatcher.submit(2, late, 0.0) is None
+    ((number, decision),) = finish(dispatcher, 0, 0.05)
+    assert (number, type(decision)) == (2, Assigned)
+
+
+def test_a_short_slow_spell_does_not_refuse_what_can_be_answered_on_time():
+    """The latency of a spell of 0.4 s was taken for that of all waiting requests."""
+    refused = {}
+    for bulk in (False, True):
+        dispatcher, _ = make_dispatcher(servers=1, bulk=bulk)
+        now = 0.0
+        for number in range(400):
+            latency_s = 3 * LATENCY_S if number >= 397 else LATENCY_S
+            dispatcher.submit(number, make_request(number, key=0), now)
+            now += latency_s
+            finish(dispatcher, number, now, latency_s)
+        decisions = [
+            dispatcher.submit(number, make_request(number, key=0), now)
+            for number in range(1000, 1018)
+        ]
+        refused[bulk] = sum(isinstance(decision, Refused) for decision in decisions)
+    assert refused[False] > refused[True] == 0
+
+
+def test_requests_in_flight_count_with_their_remaining_time():
+    """A request was refused although its server was about to finish another."""
+    for elapsed_s, accepted in ((0.01, False), (0.09, True)):
+        dispatcher, _ = make_dispatcher(servers=1)
+        for number in range(100):
+            fill(dispatcher, 1, first=number, key=0)
+            finish(dispatcher, number, 0.0, latency_s=0.1)
+        fill(dispatcher, 2, first=200, key=0)
+        request = make_request(300, key=0, target_s=0.15, left_s=0.16)
+        decision = dispatcher.submit(300, request, elapsed_s)
+        assert (decision is None) is accepted
+
+
+def test_the_loss_of_an_instance_frees_the_places_of_its_waiting_requests():
+    dispatcher, _ = make_dispatcher(servers=1)
+    number = 0
+    while dispatcher.submit(number, make_request(number), 0.0) is None or number < 2:
+        number += 1
+    lost = range(2, number)
+    assert lost
+    for waiting in lost:
+        assert dispatcher.cancel(waiting, 0.01) == []
+    assert dispatcher.submit(100, make_request(100), 0.02) is None
+    ((served, _),) = finish(dispatcher, 0, 0.05)
+    assert served == 100
+
+
+def test_waiting_requests_follow_their_key_to_its_new_owner():
+    dispatcher, owners = make_dispatcher(servers=2)
+    fill(dispatcher, 3, key=0)
+    owners.moved[0] = "s1"
+    ((number, decision),) = dispatcher.advance(0.02)
+    assert (number, decision.server) == (2, "s1")
+
+
+@pytest.mark.parametrize("bulk", [False, True])
+def test_requests_that_wait_are_kept_when_the_configuration_changes(bulk):
+    """The last bulk route is removed, or the first is added, while requests wait."""
+    dispatcher, _ = make_dispatcher(servers=1, bulk=not bulk)
+    fill(dispatcher, 4)
+    other, _ = make_dispatcher(servers=1, bulk=bulk)
+    dispatcher._view.configuration = other._view.configuration
+    dispatcher.advance(0.01)
+    assert [finish(dispatcher, n, 0.05)[0][0] for n in (0, 1)] == [2, 3]
