--- a/basilwick/core/dispatch/return_times.py
+++ b/basilwick/core/dispatch/return_times.py
@@ -85,6 +85,7 @@
         if wait_s <= usable_s:
             line.next_return_at = next_at + 1.0 / max(requests_per_s, 1.0)
             wait_s *= 1.0 + _JITTER * (self._rng.random() - 0.5)
+            wait_s = min(wait_s, usable_s)
         else:
             wait_s = usable_s * (1.0 - _LATE_SPREAD * self._rng.random())
         wait_s = max(_MIN_RETRY_AFTER_S, wait_s)
--- a/tests/core/dispatch/test_admission.py
+++ b/tests/core/dispatch/test_admission.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
-from overload_harness import Overload, make_dispatcher, make_request
+from overload_harness import (
+    Overload,
+    make_dispatcher,
+    make_request,
+)
 
 from basilwick.core.dispatch.messages import (
     Assigned,
@@ -11,6 +17,9 @@
     SendFinished,
     SendOutcome,
 )
+from basilwick.core.dispatch.ranked_queue import RankedQueue
+from basilwick.core.dispatch.return_times import ReturnTimes
+from basilwick.core.dispatch.wait_queues import PendingRequest
 
 LATENCY_S = 0.05
 
@@ -118,3 +127,90 @@
     dispatcher._view.configuration = other._view.configuration
     dispatcher.advance(0.01)
     assert [finish(dispatcher, n, 0.05)[0][0] for n in (0, 1)] == [2, 3]
+
+
+def test_overload_is_borne_by_the_least_urgent_but_none_starves():
+    load = Overload(make_dispatcher(servers=6)[0])
+    load.play(1.6 * 6 * 2 / LATENCY_S, 10.0)
+    served = [
+        load.get_share("on time", p) + load.get_share("late", p) for p in (0, 1, 2)
+    ]
+    assert served[0] > 0.95
+    assert served[0] >= served[1] >= served[2]
+    capacity = 6 * 2 / LATENCY_S * 10.0
+    assert served[2] * load.counts[2, "offered"] > 0.08 * capacity
+
+
+def test_requests_with_and_without_a_key_compete_by_the_same_order():
+    """A slot freed by a keyed request served only requests for keys of its server."""
+    load = Overload(make_dispatcher(servers=1)[0], keys=1)
+    dispatcher = load.dispatcher
+    fill(dispatcher, 2, key=0)
+    dispatcher.submit(2, make_request(2, priority=1, key=0), 0.0)
+    dispatcher.submit(3, make_request(3, priority=0), 0.001)
+    dispatcher.submit(4, make_request(4, priority=0, key=0), 0.002)
+    order = [finish(dispatcher, number, 0.05)[0][0] for number in (0, 1)]
+    order += [n for n, _ in finish(dispatcher, order[0], 0.1)]
+    assert order == [3, 4, 2]
+
+
+@pytest.mark.parametrize(("deadline_s", "first"), [(0.6, 3), (0.12, 2)])
+def test_an_urgent_late_request_goes_first_only_if_its_deadline_would_pass(
+    deadline_s, first
+):
+    dispatcher, _ = make_dispatcher(servers=1)
+    fill(dispatcher, 2)
+    late = make_request(2, priority=0, target_s=-0.1, left_s=deadline_s)
+    dispatcher.submit(2, late, 0.0)
+    dispatcher.submit(3, make_request(3, priority=1), 0.0)
+    ((number, _),) = finish(dispatcher, 0, 0.05)
+    assert number == first
+
+
+def test_a_less_urgent_waiting_request_gives_way_and_is_refused_at_once():
+    dispatcher, _ = make_dispatcher(servers=1)
+    fill(dispatcher, 2, priority=2)
+    waiting = 2
+    while dispatcher.submit(waiting, make_request(waiting, priority=2), 0.0) is None:
+        waiting += 1
+    for number in range(100, 110):
+        urgent = make_request(number, priority=0)
+        assert dispatcher.submit(number, urgent, 0.001) is None
+    given_up = dispatcher.advance(0.02)
+    assert given_up
+    assert all(2 <= n < waiting and isinstance(d, Refused) for n, d in given_up)
+    assert all("more urgent" in decision.reason for _, decision in given_up)
+
+
+def test_retry_times_are_usable_and_spread():
+    """Callers came back all at once, or were told times beyond their deadline."""
+    load = Overload(make_dispatcher(servers=4)[0])
+    load.play(1.6 * 4 * 2 / LATENCY_S, 4.0)
+    usable = [(left, told) for left, told in load.retry_times if left > 0.2]
+    assert len(usable) > 100
+    assert all(0.05 <= told <= left / 3 + 0.001 for left, told in usable)
+    assert len({round(told, 2) for _, told in usable}) > 15
+
+
+def make_pending(number, arrived_at, target_at):
+    pending = PendingRequest(number, make_request(number), arrived_at, target_at, 1.2)
+    return pending
+
+
+def test_only_a_caller_that_returns_as_told_goes_before_a_new_one():
+    """Callers that repeated at once took the places of those that waited."""
+    returns = ReturnTimes(Random(1))
+    queue = RankedQueue("tags", "s0")
+    line = queue.get_line(1)
+    told_s = returns.choose(make_pending(0, 0.0, 0.7), line, 0.3, 40.0, 0.0)
+    early = make_pending(1, 0.15, 0.7)
+    assert not returns.try_redeem(early, 0.15)
+    returns.choose(early, line, 0.3, 40.0, 0.15)
+    returned, other = (make_pending(n, told_s, 0.7) for n in (2, 3))
+    assert returns.try_redeem(returned, told_s)
+    assert not returns.try_redeem(other, told_s)
+    returned.returned = True
+    other.target_at = 0.6
+    for pending in (other, returned):
+        queue.insert(pending, late=False)
+    assert [pending for _, pending in line.on_time] == [returned, other]
