Keep floors cheap to check, and pass over requests bound to a full region

A waiting request whose home regions have no free slot blocked all those behind it in the service's queue; up to three such requests are now passed over. Expected returns are also removed while nothing waits.

--- a/basilwick/core/dispatch/admission.py
+++ b/basilwick/core/dispatch/admission.py
@@ -16,7 +16,7 @@
 from basilwick.core.dispatch.return_times import ReturnTimes
 from basilwick.core.dispatch.server_assigner import MIN_JITTER
 from basilwick.core.dispatch.service_order import ServiceOrder
-from basilwick.core.dispatch.service_shares import ServiceShares
+from basilwick.core.dispatch.service_shares import DEFAULT_PRIORITY_FLOOR, ServiceShares
 from basilwick.core.dispatch.target_admission import OWNER_CHECK_INTERVAL_S
 from basilwick.core.dispatch.wait_forecast import WaitForecaster
 
@@ -37,14 +37,17 @@
 _REVIEW_INTERVAL_S = 0.02
 #: Standard deviations by which fewer requests may arrive ahead of a request than
 #: expected, for it to be accepted.
-_ON_TIME_HOPE = 0.5
-_LATE_HOPE = 0.5
+_ON_TIME_HOPE = 1.0
+_LATE_HOPE = 1.0
 #: Standard deviations that are added for one that waits already. Forecasts change with
 #: each response, and only what clearly can't be reached should be given up.
 _PATIENCE = 1.0
 #: Part of the latency by which a response may probably miss its target before the
 #: request counts as late.
 _TARGET_TOLERANCE = 0.5
+#: Requests with home regions that are passed over for those behind them, when a slot is
+#: free. Each costs a look at all servers of the service.
+_MAX_PASSED_OVER = 3
 #: Retry-after time in seconds while no server can be reached.
 _UNREACHABLE_RETRY_S = 0.25
 
@@ -63,23 +66,27 @@
         Decides anew on a request whose key has changed owner.
     rng : random.Random
         Source of the spread of retry-after times.
+    priority_floor : float
+        Share of a service's slots that each priority gets while it has requests.
     """
 
     _owners: KeyOwnerLookup
     _assigner: ServerAssigner
     _dispatch: Callable[[PendingRequest, MonotonicSeconds], DispatchDecision | None]
     _rng: Random
+    _priority_floor: float = DEFAULT_PRIORITY_FLOOR
     _queues: dict[tuple[ServiceName, ServerName | None], RankedQueue] = field(
         init=False, factory=dict
     )
     #: Queue of each waiting request.
     _waiting: dict[PendingRequest, RankedQueue] = field(init=False, factory=dict)
-    _shares: ServiceShares = field(init=False, factory=ServiceShares)
+    _shares: ServiceShares = field(init=False)
     _forecaster: WaitForecaster = field(init=False)
     _order: ServiceOrder = field(init=False)
     _returns: ReturnTimes = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._shares = ServiceShares(self._priority_floor)
         self._forecaster = WaitForecaster(self._assigner, self._shares)
         self._order = ServiceOrder(self._forecaster, self._shares)
         self._returns = ReturnTimes(self._rng)
@@ -157,7 +164,6 @@
                 yield from self._serve(*key, now)
             elif queue.owner is not None and queue.is_idle(now):
                 del self._queues[key]
-        self._returns.remove_expired(now)
 
     def take_all(self) -> list[PendingRequest]:
         """Remove and return all waiting requests."""
@@ -177,18 +183,25 @@
         """
         keys = ((service, server), (service, None)) if server else ((service, None),)
         queues = [self._queues[key] for key in keys if key in self._queues]
+        passed_over = []
         for queue in queues:
             yield from self._expire_first(queue, now)
         while queues := [queue for queue in queues if queue.size]:
             queue, pending = self._order.select(queues, now)
             assigned = self._assigner.try_assign(queue, pending, now)
             if assigned is None:
-                queues.remove(queue)
+                # Those behind a request that only some servers may run can go on.
+                if pending.request.home_regions and len(passed_over) < _MAX_PASSED_OVER:
+                    passed_over.append((queue, pending, queue.remove(pending)))
+                else:
+                    queues.remove(queue)
                 continue
             self.withdraw(pending)
             self._record_served(queue, pending.request.priority, now)
             yield pending, assigned
             yield from self._expire_first(queue, now)
+        for queue, pending, place in passed_over:
+            queue.restore(pending, place)
 
     def _expire_first(
         self, queue: RankedQueue, now: MonotonicSeconds
--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 )
 from basilwick.core.dispatch.server_selector import CapacityShare, ServerSelector
 from basilwick.core.dispatch.server_statements import LeavingServer
+from basilwick.core.dispatch.service_shares import DEFAULT_PRIORITY_FLOOR
 from basilwick.core.dispatch.target_admission import TargetAdmission
 from basilwick.core.dispatch.wait_queues import PendingRequest
 
@@ -66,6 +67,9 @@
         instance that decides by itself.
     share : CapacityShare, optional
         Part of the servers' capacity that may be used; by default all of it.
+    priority_floor : float
+        Share of a service's slots that each priority gets while it has requests, at a
+        site with bulk routes.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         regions: dict[str, str],
         rng: Random,
         share: CapacityShare | None = None,
+        priority_floor: float = DEFAULT_PRIORITY_FLOOR,
     ):
         self._view = view
         self._owners = owners
@@ -85,7 +90,7 @@
             view, owners, self._assigner, self._dispatch
         )
         self._priority_admission = PriorityAdmission(
-            owners, self._assigner, self._dispatch, rng
+            owners, self._assigner, self._dispatch, rng, priority_floor
         )
         self._pending: dict[Hashable, PendingRequest] = {}
         self._awaiting_handover: list[PendingRequest] = []
--- a/basilwick/core/dispatch/ranked_queue.py
+++ b/basilwick/core/dispatch/ranked_queue.py
@@ -17,7 +17,7 @@
     from basilwick.core.dispatch.wait_queues import PendingRequest
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
-__all__ = ["PriorityLine", "QueueEntry", "RankedQueue"]
+__all__ = ["PriorityLine", "QueueEntry", "QueuePlace", "RankedQueue"]
 
 #: Time constant in seconds of the rates of a queue. Demand changes by half within some
 #: 17 s, and at 50 requests/s a shorter time would give rates that are off by over 10%.
@@ -27,6 +27,8 @@
 
 #: Sort key, which has a unique number at its end, and the request.
 QueueEntry: TypeAlias = "tuple[tuple[float, ...], PendingRequest]"
+#: List that contains a waiting request, and its sort key.
+QueuePlace: TypeAlias = "tuple[list[QueueEntry], tuple[float, ...]]"
 
 
 @define(eq=False)
@@ -99,10 +101,7 @@
     lines: list[PriorityLine] = field(factory=list)
     owners_checked_at: MonotonicSeconds = float("-inf")
     reviewed_at: MonotonicSeconds = float("-inf")
-    #: List and sort key of each waiting request.
-    _places: dict[PendingRequest, tuple[list[QueueEntry], tuple[float, ...]]] = field(
-        factory=dict
-    )
+    _places: dict[PendingRequest, QueuePlace] = field(factory=dict)
     _sequence: Iterator[int] = field(factory=count)
 
     @property
@@ -129,12 +128,19 @@
         insort(entries, (key, pending))
         self._places[pending] = (entries, key)
 
-    def remove(self, pending: PendingRequest) -> None:
-        """Remove a request if it waits."""
+    def remove(self, pending: PendingRequest) -> QueuePlace | None:
+        """Remove a request if it waits; returns its place."""
         place = self._places.pop(pending, None)
         if place is not None:
             entries, key = place
             del entries[bisect_left(entries, (key,))]
+        return place
+
+    def restore(self, pending: PendingRequest, place: QueuePlace) -> None:
+        """Add a removed request in its former place."""
+        entries, key = place
+        insort(entries, (key, pending))
+        self._places[pending] = place
 
     def is_idle(self, now: MonotonicSeconds) -> bool:
         """Return whether its rates are too small to matter."""
--- a/basilwick/core/dispatch/return_times.py
+++ b/basilwick/core/dispatch/return_times.py
@@ -102,7 +102,7 @@
                     return True
         return False
 
-    def remove_expired(self, now: MonotonicSeconds) -> None:
+    def _remove_expired(self, now: MonotonicSeconds) -> None:
         """Discard the expected returns of callers whose deadline has passed."""
         if now - self._expired_at < 1.0:
             return
@@ -126,6 +126,7 @@
                     < expected.due_at - _EARLY_TOLERANCE_S
                 ):
                     return
+        self._remove_expired(now)
         key = self._list_keys(pending)[0]
         self._returns.setdefault(key, []).append(_Return(now, now + wait_s))
 
--- a/basilwick/core/dispatch/service_shares.py
+++ b/basilwick/core/dispatch/service_shares.py
@@ -19,6 +19,12 @@
 #: Time constant in seconds of the rates that the shares are computed from. It is longer
 #: than a request waits, so that what was offered and what was served match.
 _RATE_PERIOD_S = 3.0
+#: Factor by which the share of a priority may exceed its floor while the floor is still
+#: expected to serve what waits. The share varies around the floor once it is in use.
+_FLOOR_TOLERANCE = 1.5
+#: Time in seconds for which it is kept which priorities the floors serve. Their shares
+#: change by less than a percent of their value in this time.
+_ENTITLED_AGE_S = 0.02
 
 
 def _make_rate() -> MovingRate:
@@ -39,6 +45,15 @@
         return min(1.0, self.served.get(now) / offered) if offered else 1.0
 
 
+@define(eq=False)
+class _Entitled:
+    """Priorities of a service that its floors serve."""
+
+    found_at: MonotonicSeconds
+    below_floor: set[int] = field(factory=set)
+    near_floor: set[int] = field(factory=set)
+
+
 @define(eq=False)
 class ServiceShares:
     """Tells when a priority is served by its floor.
@@ -57,6 +72,7 @@
     _services: dict[ServiceName, dict[int, _PriorityRates]] = field(
         init=False, factory=dict
     )
+    _entitled: dict[ServiceName, _Entitled] = field(init=False, factory=dict)
 
     def record_offered(
         self, service: ServiceName, priority: int, now: MonotonicSeconds
@@ -90,29 +106,16 @@
         )
 
     def may_use_floor(
-        self,
-        service: ServiceName,
-        priority: int,
-        now: MonotonicSeconds,
-        tolerance: float = 1.0,
+        self, service: ServiceName, priority: int, now: MonotonicSeconds
     ) -> bool:
-        """Return whether a priority may be served before more urgent ones.
+        """Return whether a priority may be served before more urgent ones."""
+        return priority in self._get_entitled(service, now).below_floor
 
-        Parameters
-        ----------
-        tolerance : float
-            Factor by which its share may exceed the floor.
-        """
-        services = self._services.get(service, {})
-        more_urgent = [rates for other, rates in services.items() if other < priority]
-        if not more_urgent or priority not in services:
-            return False
-        served = sum(rates.served.get(now) for rates in services.values())
-        own = services[priority]
-        if own.served.get(now) >= tolerance * self.floor * served:
-            return False
-        ratio = own.get_served_ratio(now)
-        return all(ratio <= rates.get_served_ratio(now) for rates in more_urgent)
+    def expects_floor(
+        self, service: ServiceName, priority: int, now: MonotonicSeconds
+    ) -> bool:
+        """Return whether the floor of a priority is in use or about to be."""
+        return priority in self._get_entitled(service, now).near_floor
 
     def find_due(
         self, queue: RankedQueue, now: MonotonicSeconds
@@ -124,6 +127,29 @@
                 return line
         return None
 
+    def _get_entitled(self, service: ServiceName, now: MonotonicSeconds) -> _Entitled:
+        entitled = self._entitled.get(service)
+        if entitled is None or not 0.0 <= now - entitled.found_at < _ENTITLED_AGE_S:
+            entitled = self._entitled[service] = self._find_entitled(service, now)
+        return entitled
+
+    def _find_entitled(self, service: ServiceName, now: MonotonicSeconds) -> _Entitled:
+        """Find the priorities with a small share and no better ratio than others."""
+        rates = self._services.get(service, {})
+        served = {priority: rates[priority].served.get(now) for priority in rates}
+        floor_per_s = self.floor * sum(served.values())
+        entitled = _Entitled(now)
+        lowest_ratio = None
+        for priority in sorted(rates):
+            ratio = rates[priority].get_served_ratio(now)
+            if lowest_ratio is not None and ratio <= lowest_ratio:
+                if served[priority] < floor_per_s:
+                    entitled.below_floor.add(priority)
+                if served[priority] < _FLOOR_TOLERANCE * floor_per_s:
+                    entitled.near_floor.add(priority)
+            lowest_ratio = ratio if lowest_ratio is None else min(lowest_ratio, ratio)
+        return entitled
+
     def _get_rates(self, service: ServiceName, priority: int) -> _PriorityRates:
         return self._services.setdefault(service, {}).setdefault(
             priority, _PriorityRates()
--- a/basilwick/core/dispatch/wait_forecast.py
+++ b/basilwick/core/dispatch/wait_forecast.py
@@ -26,10 +26,6 @@
 #: each server is looked at to measure it.
 _CAPACITY_AGE_S = 0.05
 
-#: Factor by which the share of a priority may exceed its floor while the floor is still
-#: expected to serve what waits. The share varies around the floor once it is in use.
-_FLOOR_TOLERANCE = 1.5
-
 
 @frozen
 class Competition:
@@ -197,13 +193,13 @@
             shared_arrivals = shared.get_arrivals(priority, late, now)
             arrivals += shared_arrivals * forecast.slots / slots
         for line in queue.lines:
-            if line.priority > priority and self._shares.may_use_floor(
-                queue.service, line.priority, now, _FLOOR_TOLERANCE
+            if line.priority > priority and self._shares.expects_floor(
+                queue.service, line.priority, now
             ):
                 floor_per_s = self._shares.floor * forecast.requests_per_s
                 arrivals += min(line.served.get(now), floor_per_s)
         floor = 0.0
-        if self._shares.may_use_floor(queue.service, priority, now, _FLOOR_TOLERANCE):
+        if self._shares.expects_floor(queue.service, priority, now):
             floor = self._shares.floor * forecast.requests_per_s
             line = queue.get_line(priority)
             floor -= line.arrivals.get(now) if late else line.returns.get(now)
--- a/tests/core/dispatch/test_admission.py
+++ b/tests/core/dispatch/test_admission.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from attrs import evolve
 from overload_harness import (
     Overload,
     make_dispatcher,
@@ -214,3 +215,14 @@
     for pending in (other, returned):
         queue.insert(pending, late=False)
     assert [pending for _, pending in line.on_time] == [returned, other]
+
+
+def test_requests_bound_to_a_full_region_do_not_block_those_behind_them():
+    dispatcher, _ = make_dispatcher(servers=2)
+    fill(dispatcher, 4)
+    bound = evolve(make_request(4, priority=0), home_regions=("elsewhere",))
+    dispatcher.submit(4, bound, 0.0)
+    dispatcher.submit(5, make_request(5), 0.001)
+    ((number, _),) = finish(dispatcher, 0, 0.05)
+    assert number == 5
+    assert dispatcher.cancel(4, 0.06) == []
