Let operators set the floor of the priorities, and count refusals by reason

The floor was a constant. The settings of the product's own table basilwick now hold priority_floor, checked at the start. The counter basilwick_refused_requests_total tells by service, priority and reason what the dispatcher refused, so that waits in vain show without reading logs.

--- a/basilwick/core/deployment.py
+++ b/basilwick/core/deployment.py
@@ -49,6 +49,9 @@
         Interval in seconds between the registrations of a server.
     cores : float
         CPU cores available to the instance, 0 if not known.
+    priority_floor : float
+        Share of a service's slots that each priority gets while it has requests, at a
+        site with bulk routes.
     """
 
     instance: str
@@ -62,3 +65,4 @@
     heartbeat_interval_s: float = 1.0
     bounds: SiteBounds = SiteBounds()
     cores: float = 0.0
+    priority_floor: float = 0.1
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -263,6 +263,12 @@
             registry=self.registry,
         )
 
+        self._refused_requests = Counter(
+            "basilwick_refused_requests",
+            "Requests for which the dispatcher found no server, by reason.",
+            ("service", "priority", "reason"),
+            registry=self.registry,
+        )
         self._discarded_answers = Counter(
             "basilwick_discarded_answers",
             "Answers of servers that no request accepted, by reason.",
@@ -270,6 +276,10 @@
             registry=self.registry,
         )
 
+    def count_refused_request(self, service: str, priority: int, reason: str) -> None:
+        """Count a request for which the dispatcher found no server."""
+        self._refused_requests.labels(service, str(priority), reason).inc()
+
     def count_discarded_answer(self, reason: str) -> None:
         """Count an answer of a server that no request accepted."""
         self._discarded_answers.labels(reason).inc()
--- a/basilwick/platform/deployment.py
+++ b/basilwick/platform/deployment.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from basilwick.core.deployment import Deployment, SiteBounds
+from basilwick.core.dispatch.service_shares import DEFAULT_PRIORITY_FLOOR
 from basilwick.core.errors import InvalidSettingsError
 
 if TYPE_CHECKING:
@@ -47,6 +48,9 @@
 
 
 _MS = 0.001
+#: Largest floor of a priority. With four priorities, the floors of the less urgent ones
+#: then leave a quarter of the slots to the most urgent one.
+_MAX_PRIORITY_FLOOR = 0.25
 
 
 def load_deployment(path: Path) -> Deployment:
@@ -82,6 +86,7 @@
         reader.get_number("platform.heartbeatIntervalMs", 1.0, _MS),
         _read_bounds(reader),
         _read_cpu_cores(reader),
+        priority_floor=_read_priority_floor(reader),
     )
     if reader.faults:
         raise InvalidSettingsError(path, reader.faults)
@@ -94,6 +99,17 @@
     return share * reader.get("localNode.limits.cpuCores", (int, float), 1)
 
 
+def _read_priority_floor(reader: _FieldReader) -> float:
+    """Read the setting of this product's own that the platform doesn't know."""
+    path = "basilwick.priority_floor"
+    floor = reader.get_number(path, DEFAULT_PRIORITY_FLOOR)
+    if not 0.0 <= floor <= _MAX_PRIORITY_FLOOR:
+        reader.faults.append(
+            f"{path} is {floor!r}; give a share from 0 to {_MAX_PRIORITY_FLOOR}"
+        )
+    return floor
+
+
 def _read_bounds(reader: _FieldReader) -> SiteBounds:
     default = SiteBounds()
     prefix = "terms.bounds."
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -291,6 +291,9 @@
             decision, dispatch_client = await self._obtain_server(context)
             if isinstance(decision, Refused):
                 context.reason = decision.reason
+                self._metrics.count_refused_request(
+                    context.service, context.route.priority, decision.reason
+                )
                 if failed_response is not None:
                     break
                 return self._make_failure_response(context, decision.retry_after_s)
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -124,6 +124,7 @@
             deployment.regions,
             rng,
             CapacityShare(slots=1),
+            deployment.priority_floor,
         )
         self._fallback = DispatchRunner(fallback, read_clock)
         self._dispatcher = FailoverDispatcher(self._link, self._fallback, read_clock)
--- a/basilwick/runtime/fleet/leader_role.py
+++ b/basilwick/runtime/fleet/leader_role.py
@@ -122,7 +122,14 @@
         self._clock = clock
         self._authority = authority
         self._range_managers: dict[ServiceName, RangeManager] = {}
-        dispatcher = Dispatcher(view, self, retry_budget, deployment.regions, rng)
+        dispatcher = Dispatcher(
+            view,
+            self,
+            retry_budget,
+            deployment.regions,
+            rng,
+            priority_floor=deployment.priority_floor,
+        )
         self.runner = _LoadRecordingRunner(dispatcher, clock, self._range_managers)
         self._count_linked = count_linked
         self._instances = InstanceWindow()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -431,6 +431,14 @@
     assert load_deployment(path).cores == 0.0
 
 
+def test_the_floor_of_the_priorities_is_read(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + "[basilwick]\npriority_floor = 0\n")
+    assert load_deployment(path).priority_floor == 0.0
+    path.write_text(SETTINGS)
+    assert load_deployment(path).priority_floor == 0.1
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
@@ -439,6 +447,7 @@
         ('ready = "10.0.0.1:8388"', 'ready = "here"', "ready"),
         ("[7200,7215]", "[7200]", "internalPortRange"),
         ("maxHoldMs = 2000", 'maxHoldMs = "long"', "maxHoldMs"),
+        ("gracePeriodS = 6", "[basilwick]\npriority_floor = 0.9", "priority_floor"),
     ],
 )
 def test_invalid_fields_of_settings_are_reported(tmp_path, old, new, field):
