Give up late requests sooner, and leave room for callers that come back

A random test checks that each request gets one decision. tests/core/dispatch and tests/test_documentation.py pass.

--- a/basilwick/core/dispatch/admission.py
+++ b/basilwick/core/dispatch/admission.py
@@ -36,9 +36,10 @@
 #: Interval in seconds between checks whether waiting requests can be reached in time.
 _REVIEW_INTERVAL_S = 0.02
 #: Standard deviations by which fewer requests may arrive ahead of a request than
-#: expected, for it to be accepted.
+#: expected, for it to be accepted. What arrives ahead of late requests nearly fills the
+#: servers; with more hope, they would wait until their deadline.
 _ON_TIME_HOPE = 1.0
-_LATE_HOPE = 1.0
+_LATE_HOPE = 0.0
 #: Standard deviations that are added for one that waits already. Forecasts change with
 #: each response, and only what clearly can't be reached should be given up.
 _PATIENCE = 1.0
--- a/basilwick/core/dispatch/ranked_queue.py
+++ b/basilwick/core/dispatch/ranked_queue.py
@@ -163,15 +163,12 @@
     def get_arrivals(self, priority: int, late: bool, now: MonotonicSeconds) -> float:
         """Return the on-time requests per second that go before a request.
 
-        Requests of the same priority go before it if they are on time and it is late,
-        or if their callers came back as told.
+        Requests of the same priority that are on time go before a late one.
         """
         rate = 0.0
         for line in self.lines:
             if line.priority < priority or (late and line.priority == priority):
                 rate += line.arrivals.get(now)
-            elif line.priority == priority:
-                rate += line.returns.get(now)
         return rate
 
 
--- a/basilwick/core/dispatch/wait_forecast.py
+++ b/basilwick/core/dispatch/wait_forecast.py
@@ -22,6 +22,9 @@
 #: Expected remaining time of a request that has taken longer than expected, as a part
 #: of the time that it has taken. What is overdue usually runs in a slow spell.
 _OVERDUE_REMAINDER = 0.5
+#: Standard deviations by which more callers may return than expected. Callers return
+#: where requests were refused, so that nothing is idle if fewer requests wait there.
+_RETURN_DEVIATIONS = 2.0
 #: Time in seconds for which the capacity of all servers of a service is kept, since
 #: each server is looked at to measure it.
 _CAPACITY_AGE_S = 0.05
@@ -34,12 +37,15 @@
     Attributes
     ----------
     arrivals_per_s : float
-        Requests per second that go before them.
+        Requests per second that go before them by their priority.
+    returns_per_s : float
+        Requests per second of their priority whose callers come back as told.
     floor_per_s : float
         Requests per second that are served nevertheless; 0 if none.
     """
 
     arrivals_per_s: float
+    returns_per_s: float
     floor_per_s: float
 
 
@@ -109,6 +115,8 @@
             return False
         arriving = competition.arrivals_per_s * time_left_s
         arriving = max(0.0, arriving - deviations * sqrt(arriving))
+        returning = competition.returns_per_s * time_left_s
+        arriving += returning + _RETURN_DEVIATIONS * sqrt(returning)
         wait_s = self.get_wait(ahead)
         if self.slots:
             wait_s += arriving / self.requests_per_s
@@ -200,12 +208,14 @@
             ):
                 floor_per_s = self._shares.floor * forecast.requests_per_s
                 arrivals += min(line.served.get(now), floor_per_s)
+        line = queue.get_line(priority)
+        # Those of a priority are among the arrivals that go before its late requests.
+        returns = 0.0 if late else line.returns.get(now)
         floor = 0.0
         if self._shares.expects_floor(queue.service, priority, now):
             floor = self._shares.floor * forecast.requests_per_s
-            line = queue.get_line(priority)
-            floor -= line.arrivals.get(now) if late else line.returns.get(now)
-        return Competition(arrivals, max(0.0, floor))
+            floor -= line.arrivals.get(now) if late else returns
+        return Competition(arrivals, returns, max(0.0, floor))
 
     def _measure_service(
         self, queue: RankedQueue, now: MonotonicSeconds
--- a/tests/core/dispatch/test_admission.py
+++ b/tests/core/dispatch/test_admission.py
@@ -242,3 +242,48 @@
         (line,) = dispatcher._priority_admission._queues["tags", "s0"].lines
         accepted[delay_s] = len(line.on_time)
     assert accepted[0.05] < 0.7 * accepted[0.0]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_each_request_gets_one_decision_and_leaves_nothing_behind(seed):
+    """Random arrivals, ends, withdrawals and moves of keys."""
+    rng = Random(seed)
+    dispatcher, owners = make_dispatcher(servers=3, seed=seed)
+    waiting, running = set(), set()
+
+    def note(decisions):
+        for number, decision in decisions:
+            waiting.remove(number)
+            if isinstance(decision, Assigned):
+                running.add(number)
+
+    now = 0.0
+    for number in range(2000):
+        now += rng.expovariate(150.0)
+        target_s = rng.uniform(-0.3, 0.8)
+        request = make_request(
+            number, rng.randrange(3), rng.randrange(-1, 3), target_s, target_s + 0.5
+        )
+        waiting.add(number)
+        decision = dispatcher.submit(number, request, now)
+        if decision is not None:
+            note([(number, decision)])
+        action = rng.random()
+        if action < 0.6 and running:
+            ended = rng.choice(sorted(running))
+            running.remove(ended)
+            note(finish(dispatcher, ended, now))
+        elif action < 0.7 and waiting:
+            ended = rng.choice(sorted(waiting))
+            waiting.remove(ended)
+            note(dispatcher.cancel(ended, now))
+        elif action < 0.75:
+            owners.moved[rng.randrange(3)] = f"s{rng.randrange(3)}"
+        else:
+            note(dispatcher.advance(now))
+        assert set(dispatcher._pending) == waiting | running
+        loads = [dispatcher.get_load(f"s{index}").in_flight for index in range(3)]
+        assert sum(loads) == len(running)
+        assert max(loads) <= 2
+    note(dispatcher.advance(now + 2.0))
+    assert len(waiting) <= 0
