--- a/basilwick/core/deployment.py
+++ b/basilwick/core/deployment.py
@@ -49,6 +49,9 @@
         Interval in seconds between the registrations of a server.
     cores : float
         CPU cores available to the instance, 0 if not known.
+    priority_floor : float
+        Share of a service's slots that each priority gets while it has requests, at a
+        site with bulk routes.
     link_mbps : float
         Rate of the machine's network link in Mbit/s, 0 if not known.
     """
@@ -64,4 +67,5 @@
     heartbeat_interval_s: float = 1.0
     bounds: SiteBounds = SiteBounds()
     cores: float = 0.0
+    priority_floor: float = 0.1
     link_mbps: float = 0.0
--- a/basilwick/core/ranges/owner_selector.py
+++ b/basilwick/core/ranges/owner_selector.py
@@ -341,4 +341,4 @@
 
 def _get_unloaded_latency(load: ServerLoad) -> float:
     """Return the latency without the stated slowdowns, 0 if it isn't measured."""
-    return getattr(load, "unloaded_latency_s", 0.0)
+    return load.unloaded_latency_s
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -272,6 +272,12 @@
             registry=self.registry,
         )
 
+        self._refused_requests = Counter(
+            "basilwick_refused_requests",
+            "Requests for which the dispatcher found no server, by reason.",
+            ("service", "priority", "reason"),
+            registry=self.registry,
+        )
         self._discarded_answers = Counter(
             "basilwick_discarded_answers",
             "Answers of servers that no request accepted, by reason.",
@@ -308,6 +314,10 @@
         """Count a piece of evidence that earlier grants have ended."""
         self._evidence.labels(kind).inc()
 
+    def count_refused_request(self, service: str, priority: int, reason: str) -> None:
+        """Count a request for which the dispatcher found no server."""
+        self._refused_requests.labels(service, str(priority), reason).inc()
+
     def count_discarded_answer(self, reason: str) -> None:
         """Count an answer of a server that no request accepted."""
         self._discarded_answers.labels(reason).inc()
