Bound what one caller's connection is read and parsed for

aiohttp limits the request line and each header field, but not their sum, so heads of 60 fields took 277 MB with 20 callers. It reads 256 KiB at a time and repeats that much in the texts of errors, and for a body in chunks of one byte its parser copied the rest of a read at each byte. Empty lines before a request had no limit, and trailers that can't be parsed left the request waiting for its body.

The connection of callers moves out of http_server.py. It reads 16 KiB at a time, so that the event loop serves the other connections between two reads, and less inside bodies of tiny chunks. A head is counted from its first byte on and refused with 431 beyond limits.maxHeaderBytes, which is applied now. Empty lines count towards the size and, from the 17th byte, towards the time of a head. The overhead of chunks, extensions and trailers is bounded; at most four requests are read ahead. After a refusal nothing more is parsed.

The causes share one module and were changed together.

--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -61,7 +61,8 @@
 #: Share of the grace period, right before that margin, in which requests that wait for
 #: a server are refused.
 _REFUSE_WAITING_SHARE = 0.2
-#: Maximum length in bytes of the request line and of each header field.
+#: Maximum length in bytes of the request line, of each header field, and of a whole
+#: request head until the configuration sets another.
 _MAX_FIELD_BYTES = 16_384
 #: Time in seconds after which a caller's idle connection is closed, until the
 #: configuration sets another.
@@ -155,6 +156,7 @@
             self._request_handler.handle,
             _IDLE_TIMEOUT_S,
             _MAX_FIELD_BYTES,
+            _MAX_FIELD_BYTES,
         )
         self._ready_server = HttpServer(deployment.ready_address, self._respond_ready)
         self._metrics_server = HttpServer(
@@ -293,6 +295,7 @@
             self._caller_server.set_timeouts(
                 self._limits.idle_timeout_s, self._limits.header_timeout_s
             )
+            self._caller_server.set_head_limit(self._limits.header_bytes)
 
     def _record_discarded(self, answer: DiscardedAnswer) -> None:
         self.metrics.count_discarded_answer(answer.reason)
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -3,33 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
-from socket import SO_LINGER, SOL_SOCKET
 from typing import TYPE_CHECKING, Any
 
-from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web import RequestHandler, Server
-from loguru import logger
 
-from basilwick.core.errors import ErrorKind, Refusal, make_refusal
-from basilwick.transport.body_sender import BodySender
-from basilwick.transport.connection import RESET_ON_CLOSE
-from basilwick.transport.exchange import Answer, encode_headers, encode_refusal
+from basilwick.transport.caller_connection import READ_BYTES, CallerConnection
+from basilwick.transport.raw_response import RawResponse, answer_refusal
 
 if TYPE_CHECKING:
-    from asyncio import BaseTransport
     from collections.abc import Awaitable, Callable
 
     from aiohttp.web import BaseRequest
 
-    from basilwick.transport.exchange import ByteStream
-
 __all__ = ["HttpServer", "RawResponse", "answer_refusal"]
 
 #: Default limit in bytes of the request line and of each header field.
 _MAX_FIELD_BYTES = 8190
 #: Largest number of header fields of a request.
 _MAX_FIELDS = 64
+#: Default limit in bytes of a whole request head.
+_MAX_HEAD_BYTES = 65_536
 #: Default time in seconds after which an idle connection is closed.
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 #: Time in seconds for which the rest of a refused body is read and discarded, so that
@@ -42,241 +35,6 @@
 _DRAIN_IDLE_S = 0.25
 #: Interval in seconds at which a graceful shutdown checks the open connections.
 _DRAIN_INTERVAL_S = 0.02
-_STATUS_LINES = {
-    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
-    for status in HTTPStatus
-}
-_JSON_FIELD = (b"Content-Type", b"application/json")
-
-
-def answer_refusal(refusal: Refusal) -> Answer:
-    """Return the answer that reports a refusal to a caller."""
-    fields = [
-        _JSON_FIELD,
-        (b"Basilwick-Error", refusal.kind.encode()),
-        (b"Basilwick-Outcome", refusal.outcome.encode()),
-    ]
-    if refusal.retry_after_s is not None:
-        seconds = max(1, round(refusal.retry_after_s))
-        fields.append((b"Retry-After", str(seconds).encode()))
-    return Answer(refusal.status, fields, encode_refusal(refusal))
-
-
-class RawResponse:
-    """Lightweight response that writes a small answer with a single write.
-
-    `aiohttp.web` requires only ``prepare``, ``write_eof`` and ``keep_alive`` of a
-    response. Its own response class builds a header map and two dates per answer, which
-    costs more than the routing decision.
-
-    Parameters
-    ----------
-    request : aiohttp.web.BaseRequest
-        Request to answer.
-    keep_alive : bool, default=True
-        Whether the connection may carry another request.
-    extra_fields : bytes, optional
-        Encoded header fields that this hop adds.
-
-    Attributes
-    ----------
-    started : bool
-        Whether a part of the answer was written.
-    failure : str
-        Why a streamed body was not sent to its end, "" otherwise.
-    """
-
-    def __init__(
-        self, request: BaseRequest, keep_alive: bool = True, extra_fields: bytes = b""
-    ):
-        self._request = request
-        self._extra_fields = extra_fields
-        self.keep_alive = keep_alive and request.keep_alive
-        #: Whether the answer has neither a length nor chunks, as for HTTP/1.0.
-        self._ends_with_connection = False
-        self.started = False
-        self.status = 0
-        self.body_length = 0
-        self.failure = ""
-        #: Whether the answer ends with its connection.
-        self._ends_with_connection = False
-
-    async def prepare(self, request: BaseRequest) -> None:
-        """Do nothing; `send` has written the answer."""
-
-    async def write_eof(self) -> None:
-        """Do nothing; `send` has written the answer."""
-
-    def abort(self) -> None:
-        """Abort the connection, so that the caller sees an incomplete answer.
-
-        An answer that ends with its connection would look complete after a normal
-        close, so its connection is reset.
-        """
-        self.keep_alive = False
-        transport = self._request.transport
-        if transport is None:
-            return
-        if self._ends_with_connection:
-            sock = transport.get_extra_info("socket")
-            sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-        transport.abort()
-
-    async def send(self, answer: Answer, time_left_s: float | None = None) -> None:
-        """Write a whole answer, and wait while the write buffer is full.
-
-        The connection is aborted if the body of the answer fails before its end.
-
-        Parameters
-        ----------
-        time_left_s : float, optional
-            Seconds after which the server must have sent the end of a streamed body;
-            unlimited by default.
-        """
-        request = self._request
-        if request.protocol.draining:
-            # Pipelined requests are answered before the connection closes.
-            self.keep_alive &= request.protocol.has_queued_requests
-        body = answer.body
-        chunked = False
-        if isinstance(body, bytes):
-            stated = answer.length if request.method == "HEAD" else len(body)
-            length = None if answer.status in (204, 304) else stated
-        else:
-            length = body.length
-            chunked = length is None and request.version >= (1, 1)
-            self._ends_with_connection = not chunked and length is None
-            self.keep_alive &= not self._ends_with_connection
-        lines = [
-            _STATUS_LINES.get(answer.status) or b"HTTP/1.1 %d \r\n" % answer.status,
-            encode_headers(answer.fields),
-            self._extra_fields,
-        ]
-        if length is not None:
-            lines.append(b"Content-Length: %d\r\n" % length)
-        elif chunked:
-            lines.append(b"Transfer-Encoding: chunked\r\n")
-        if not self.keep_alive:
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        self.started = True
-        self.status = answer.status
-        if not isinstance(body, bytes):
-            head = b"".join(lines)
-            await self._send_stream(head, body, chunked, time_left_s)
-            return
-        if request.method != "HEAD":
-            lines.append(body)
-        self._write(b"".join(lines))
-        if request.protocol.writing_paused:
-            await request.writer.drain()
-
-    def _write(self, data: bytes) -> None:
-        transport = self._request.transport
-        if transport is None:
-            raise ConnectionResetError("the caller closed the connection")
-        transport.write(data)
-
-    async def _send_stream(
-        self, head: bytes, body: ByteStream, chunked: bool, time_left_s: float | None
-    ) -> None:
-        ended = False
-        try:
-            self._write(head)
-            sender = BodySender(self._request, body, chunked, time_left_s)
-            ended = await sender.send()
-            self.failure = sender.failure
-        finally:
-            body.close()
-            if not ended:
-                self.abort()
-
-
-class _ConnectionHandler(RequestHandler):
-    """Connection handler that limits the time of request heads and can drain.
-
-    Malformed requests are answered with the JSON refusals of the interface.
-    """
-
-    __slots__ = ("_active_at", "_head_since")
-
-    def connection_made(self, transport: BaseTransport) -> None:
-        self._active_at = self._loop.time()
-        #: Time at which an incomplete request head began, None without one.
-        self._head_since: float | None = None
-        super().connection_made(transport)
-
-    def data_received(self, data: bytes) -> None:
-        self._active_at = self._loop.time()
-        known = self._request_count
-        super().data_received(data)
-        if self._request_count > known or not self._awaits_request:
-            self._head_since = None
-        elif self._head_since is None and data.strip(b"\r\n"):
-            self._head_since = self._active_at
-            timeout_s = self._manager.head_timeout_s
-            self._loop.call_later(
-                timeout_s, self._close_if_head_incomplete, self._active_at
-            )
-
-    @property
-    def _awaits_request(self) -> bool:
-        """Whether all requests that were read have been answered."""
-        waiter = self._waiter
-        return waiter is not None and not waiter.done() and not self._messages
-
-    @property
-    def draining(self) -> bool:
-        """Whether the connection closes after its last pending answer."""
-        return self._manager is not None and self._manager.draining
-
-    @property
-    def has_queued_requests(self) -> bool:
-        """Whether pipelined requests wait behind the current one."""
-        return bool(self._messages)
-
-    def close_if_idle(self, idle_s: float) -> None:
-        """Close unless a request is pending or incomplete, or data arrived recently."""
-        idle = self._loop.time() - self._active_at >= idle_s
-        if idle and self._awaits_request and self._head_since is None:
-            self.force_close()
-
-    def _close_if_head_incomplete(self, since: float) -> None:
-        """Close if the request head that began at a time is still incomplete."""
-        if self._head_since == since:
-            self.force_close()
-
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> Any:
-        if status >= 500:
-            # Part of an answer may have been written, and it is unknown whether the
-            # operation ran, so the connection is closed without another answer.
-            logger.opt(exception=exc).error("unexpected error in a request handler")
-            response = RawResponse(request)
-            response.abort()
-            return response
-        kind = ErrorKind.BAD_REQUEST
-        text = "the request cannot be read"
-        if isinstance(exc, LineTooLong) or "too many headers" in str(exc).lower():
-            kind, text = ErrorKind.TOO_LARGE, "a header or the path is too long"
-        return _ErrorResponse(request, make_refusal(kind, text))
-
-
-class _ErrorResponse(RawResponse):
-    """Refusal that is written when aiohttp prepares the response."""
-
-    def __init__(self, request: BaseRequest, refusal: Refusal):
-        super().__init__(request, keep_alive=False)
-        self._refusal = refusal
-
-    async def prepare(self, request: BaseRequest) -> None:
-        self._request = request
-        await self.send(answer_refusal(self._refusal))
 
 
 class _ConnectionHandlers(Server):
@@ -286,9 +44,16 @@
     draining = False
     #: Timeout in seconds from the first byte of a request head to its end.
     head_timeout_s = _HEAD_TIMEOUT_S
+    #: Limit in bytes of a whole request head.
+    max_head_bytes = _MAX_HEAD_BYTES
+
+    def __init__(self, handler: Callable[..., Any], **kwargs: Any):
+        super().__init__(handler, **kwargs)
+        #: Buffer of each read. What it received is copied before the next read.
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
 
     def __call__(self) -> RequestHandler:
-        return _ConnectionHandler(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
 
     def set_idle_timeout(self, seconds: float) -> None:
         self._kwargs["keepalive_timeout"] = seconds
@@ -307,6 +72,8 @@
         Time in seconds after which an idle connection is closed.
     max_field_bytes : int
         Limit in bytes of the request line and of each header field.
+    max_head_bytes : int
+        Limit in bytes of a whole request head.
     """
 
     def __init__(
@@ -315,9 +82,11 @@
         handler: Callable[[BaseRequest], Awaitable[RawResponse]],
         keep_alive_s: float = _KEEP_ALIVE_TIMEOUT_S,
         max_field_bytes: int = _MAX_FIELD_BYTES,
+        max_head_bytes: int = _MAX_HEAD_BYTES,
     ):
         self._keep_alive_s = keep_alive_s
         self._max_field_bytes = max_field_bytes
+        self._max_head_bytes = max_head_bytes
         host, _, port = address.rpartition(":")
         self._host, self._port = host.strip("[]"), int(port)
         self._handler = handler
@@ -349,6 +118,7 @@
             max_field_size=self._max_field_bytes,
             max_headers=_MAX_FIELDS,
         )
+        self._connection_handlers.max_head_bytes = self._max_head_bytes
         self._server = await loop.create_server(
             self._connection_handlers, self._host, self._port, backlog=1024
         )
@@ -370,6 +140,12 @@
             self._connection_handlers.head_timeout_s = head_s
             self._connection_handlers.set_idle_timeout(idle_s)
 
+    def set_head_limit(self, max_bytes: int) -> None:
+        """Change the limit in bytes of a whole request head."""
+        self._max_head_bytes = max_bytes
+        if self._connection_handlers is not None:
+            self._connection_handlers.max_head_bytes = max_bytes
+
     def announce_close(self) -> None:
         """Send Connection: close with the next answers and close after them."""
         self._connection_handlers.draining = True
