Bound what an instance holds for all callers together

An instance did not know its memory or descriptors. 200 connections that sent nothing took 213 descriptors, and 60 answers of 4 MiB that nobody read took 120 MB of resident memory, with about 1.2 MB in the process for each and more in the kernel.

The settings' localNode.limits give Deployment.memory_bytes and Deployment.descriptors. A third of the memory above 64 MiB is the budget for heads, bodies and unread answers. Above it, answers that were unread for 1 s are reset, the largest first, and a request that still finds no room gets 503 before it is sent to a server. Answers are read up to 1 MiB ahead of a slow caller within the budget, because servers cut off answers that stay unread; the kernel buffers 64 KiB of unsent bytes in place of megabytes. Callers get 0.4 of the descriptors; idle connections are closed for new ones, first those that never carried a request. A closed connection whose caller reads nothing is reset after the idle time-out. Settings without these fields bound nothing. Connections to servers read at most 64 KiB at a time and hold at most 128 KiB of an unread body.

--- a/basilwick/core/deployment.py
+++ b/basilwick/core/deployment.py
@@ -49,6 +49,12 @@
         Interval in seconds between the registrations of a server.
     cores : float
         CPU cores available to the instance, 0 if not known.
+    memory_bytes : int
+        Memory available to the instance, 0 if not known.
+    descriptors : int
+        File descriptors available to the instance, 0 if not known.
+    memory_pressure : bool
+        Whether the memory of instances and servers is a limit that callers can reach.
     """
 
     instance: str
@@ -62,3 +68,6 @@
     heartbeat_interval_s: float = 1.0
     bounds: SiteBounds = SiteBounds()
     cores: float = 0.0
+    memory_bytes: int = 0
+    descriptors: int = 0
+    memory_pressure: bool = False
--- a/basilwick/metrics.py
+++ b/basilwick/metrics.py
@@ -250,6 +250,16 @@
             "Servers that want no requests of this instance for a while.",
             registry=self.registry,
         )
+        self.caller_bytes = Gauge(
+            "basilwick_caller_bytes",
+            "Bytes that are held for callers: heads, bodies and unread answers.",
+            registry=self.registry,
+        )
+        self.memory_refusals = Counter(
+            "basilwick_memory_refusals",
+            "Requests refused because too much was held for callers.",
+            registry=self.registry,
+        )
         self._server_rate_limits = Gauge(
             "basilwick_server_rate_limit",
             "Requests per second that a server states it takes from all instances.",
--- a/basilwick/platform/deployment.py
+++ b/basilwick/platform/deployment.py
@@ -47,6 +47,9 @@
 
 
 _MS = 0.001
+_MIB = 1 << 20
+#: Contract of sites on which memory is a limit that callers can reach.
+_PRESSURE = "pressure"
 
 
 def load_deployment(path: Path) -> Deployment:
@@ -82,6 +85,9 @@
         reader.get_number("platform.heartbeatIntervalMs", 1.0, _MS),
         _read_bounds(reader),
         _read_cpu_cores(reader),
+        round(reader.get_number("localNode.limits.memoryMb", 0.0) * _MIB),
+        round(reader.get_number("localNode.limits.fileDescriptors", 0.0)),
+        _PRESSURE in reader.get("terms.contracts", (list, dict, str), []),
     )
     if reader.faults:
         raise InvalidSettingsError(path, reader.faults)
--- a/basilwick/runtime/fleet/caller_body_reader.py
+++ b/basilwick/runtime/fleet/caller_body_reader.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.web import RequestPayloadError
-from attrs import define, frozen
+from attrs import define, field, frozen
 
+from basilwick.core.caller_budget import CallerBudget
 from basilwick.transport.bodies import RequestBody
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
 #: buffered.
 _MAX_BUFFERED_BYTES = 32 << 20
 _SMALL_BODY_BYTES = 16 << 10
+#: Bytes of a streamed body that its connection holds before they are sent.
+_STREAM_BYTES = 48 << 10
 _CONTENT_TOO_LARGE = 413
 _BAD_REQUEST = 400
 
@@ -70,9 +73,12 @@
     ----------
     buffered_bytes : int
         Bytes that are buffered now.
+    budget : CallerBudget
+        Counts them with all else that is held for callers.
     """
 
     buffered_bytes: int = 0
+    budget: CallerBudget = field(factory=CallerBudget)
 
     async def load(self, raw: BaseRequest, max_body_bytes: int) -> CallerBody:
         """Buffer a body whole, or prepare to stream it.
@@ -100,6 +106,7 @@
         max_buffered_bytes = self._get_max_buffered_bytes()
         if length is not None and length > max_buffered_bytes:
             stream = RequestBody(raw.content, length, None, raw.transport)
+            self.budget.add(_STREAM_BYTES)
             return CallerBody(stream, _encode_content_length(length))
         buffered, ended = await self._buffer(raw, max_buffered_bytes)
         if ended:
@@ -112,17 +119,26 @@
             first_chunk=buffered,
             max_bytes=max_body_bytes,
         )
-        self.buffered_bytes -= len(buffered)
+        self._count(-len(buffered))
+        self.budget.add(_STREAM_BYTES)
         return CallerBody(stream, b"Transfer-Encoding: chunked\r\n")
 
     def release(self, body: CallerBody) -> None:
         """Release the buffer of a request that has ended."""
         if body.replayable:
-            self.buffered_bytes -= body.size
+            self._count(-body.size)
+        else:
+            self.budget.add(-_STREAM_BYTES)
+
+    def _count(self, size: int) -> None:
+        self.buffered_bytes += size
+        self.budget.add(size)
 
     def _get_max_buffered_bytes(self) -> int:
         """Return the size in bytes up to which a body is buffered whole now."""
         full = self.buffered_bytes + _MAX_BUFFERED_BODY_BYTES > _MAX_BUFFERED_BYTES
+        if self.budget.max_bytes:
+            full |= not self.budget.may_read_ahead(_MAX_BUFFERED_BODY_BYTES)
         return _SMALL_BODY_BYTES if full else _MAX_BUFFERED_BODY_BYTES
 
     async def _buffer(
@@ -140,13 +156,13 @@
                     break
                 chunks.append(chunk)
                 size += len(chunk)
-                self.buffered_bytes += len(chunk)
+                self._count(len(chunk))
         except (RequestPayloadError, ConnectionError) as error:
-            self.buffered_bytes -= size
+            self._count(-size)
             raise BodyRejectedError(_BAD_REQUEST) from error
         except BaseException:
             # A timeout or a disconnected caller has cancelled the read.
-            self.buffered_bytes -= size
+            self._count(-size)
             raise
         return b"".join(chunks), ended
 
--- a/basilwick/runtime/fleet/caller_request_handler.py
+++ b/basilwick/runtime/fleet/caller_request_handler.py
@@ -36,6 +36,7 @@
 
     from aiohttp.web import BaseRequest
 
+    from basilwick.core.caller_budget import CallerBudget
     from basilwick.core.dispatch.dispatcher import DispatchDecision
     from basilwick.core.dispatch.messages import Assigned
     from basilwick.core.dispatch.site import Route, SiteView
@@ -139,6 +140,8 @@
         Data centre of this instance.
     get_changes_age : callable
         Returns the seconds since all changes of the configuration were known.
+    budget : CallerBudget
+        Counts the bodies that are buffered.
     """
 
     def __init__(
@@ -150,6 +153,7 @@
         metrics: FleetMetrics,
         data_centre: str,
         get_changes_age: Callable[[], float],
+        budget: CallerBudget,
     ):
         self._view = view
         self._dispatcher = dispatcher
@@ -163,7 +167,7 @@
         self._response_sizes = ResponseSizeEstimator()
         self._recorder = ResponseRecorder(view, metrics, clock)
         self._tasks: set[asyncio.Task[Answer]] = set()
-        self._body_reader = CallerBodyReader()
+        self._body_reader = CallerBodyReader(budget=budget)
 
     async def handle(self, raw: BaseRequest) -> RawResponse:
         """Handle a request and send the response."""
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -8,6 +8,11 @@
 
 from loguru import logger
 
+from basilwick.core.caller_budget import (
+    CallerBudget,
+    get_max_caller_bytes,
+    get_max_connections,
+)
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBudget
@@ -18,6 +23,7 @@
 from basilwick.metrics import FleetMetrics
 from basilwick.platform.http_messages import read_response_metadata
 from basilwick.platform.key_value_store import KeyValueStore
+from basilwick.runtime.fleet.caller_admission import CallerAdmission
 from basilwick.runtime.fleet.caller_request_handler import CallerRequestHandler
 from basilwick.runtime.fleet.clock import read_clock
 from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
@@ -128,6 +134,7 @@
         )
         self._fallback = DispatchRunner(fallback, read_clock)
         self._dispatcher = FailoverDispatcher(self._link, self._fallback, read_clock)
+        budget = CallerBudget(get_max_caller_bytes(deployment.memory_bytes))
         self._request_handler = CallerRequestHandler(
             self._view,
             self._dispatcher,
@@ -136,6 +143,7 @@
             self.metrics,
             deployment.data_centre,
             self._watch.get_changes_age,
+            budget,
         )
         self._election = LeaderElection(
             deployment.instance,
@@ -151,13 +159,22 @@
             rng,
         )
         self._role: LeaderRole | None = None
+        admission = CallerAdmission(
+            self._request_handler.handle,
+            budget,
+            self.metrics,
+            lambda: self._caller_server.abort_unread(),
+        )
         self._caller_server = HttpServer(
             deployment.caller_address,
-            self._request_handler.handle,
+            admission.handle,
             _IDLE_TIMEOUT_S,
             _MAX_FIELD_BYTES,
             _MAX_FIELD_BYTES,
+            budget,
+            get_max_connections(deployment.descriptors),
         )
+        self.metrics.caller_bytes.set_function(lambda: budget.held_bytes)
         self._ready_server = HttpServer(deployment.ready_address, self._respond_ready)
         self._metrics_server = HttpServer(
             deployment.metrics_address, self._respond_metrics
--- a/basilwick/transport/body_sender.py
+++ b/basilwick/transport/body_sender.py
@@ -20,6 +20,8 @@
 #: Time in seconds for which bytes that the server sent before the time limit are still
 #: read from the socket's buffer.
 _REST_TIMEOUT_S = 0.1
+#: Bytes that the connection to a server holds of an answer that is not read from it.
+_SERVER_BUFFER_BYTES = 128 << 10
 _LATE = "the server did not send the whole answer in time"
 
 
@@ -60,6 +62,8 @@
         self._deadline = (
             None if time_left_s is None else self._loop.time() + time_left_s
         )
+        #: Whether the caller had not read what was written when more was read.
+        self._read_ahead = False
         self._drain: asyncio.Task[None] | None = None
         self.failure = ""
 
@@ -82,10 +86,33 @@
                 return self._fail(chunk.message)
             self._write_chunk(chunk)
             if not chunk:
+                await self._wait_until_read()
                 return True
+            if self._may_read_ahead():
+                continue
             if not await self._wait_until_writable():
                 return await self._send_rest()
 
+    def _may_read_ahead(self) -> bool:
+        """Whether the server can go on sending although the caller does not read.
+
+        A server cuts off an answer that stays unread for some seconds.
+        """
+        protocol = self._request.protocol
+        if not protocol.writing_paused:
+            return False
+        protocol.count_unsent(_SERVER_BUFFER_BYTES)
+        in_time = self._deadline is None or self._loop.time() < self._deadline
+        self._read_ahead = in_time and protocol.may_read_ahead(_SERVER_BUFFER_BYTES)
+        return self._read_ahead
+
+    async def _wait_until_read(self) -> None:
+        """Wait for a caller for which the end of an answer was read ahead."""
+        protocol = self._request.protocol
+        if self._read_ahead and protocol.writing_paused:
+            protocol.count_unsent()
+            await self._request.writer.drain()
+
     def _fail(self, reason: str) -> bool:
         self.failure = reason
         return False
--- a/basilwick/transport/caller_connection.py
+++ b/basilwick/transport/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from asyncio import BufferedProtocol
+from socket import IPPROTO_TCP, TCP_NOTSENT_LOWAT
 from typing import TYPE_CHECKING, Any
 
 from aiohttp.http import HttpRequestParser
@@ -10,22 +11,20 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web import RequestHandler, RequestPayloadError
 from aiohttp.web_protocol import _ErrInfo
-from attrs import define
 from loguru import logger
 
+from basilwick.core.caller_budget import IdleConnection, UnreadConnection
 from basilwick.core.errors import ErrorKind, make_refusal
 from basilwick.logs import log_request_line
-from basilwick.transport.exchange import Answer
-from basilwick.transport.raw_response import RawResponse, answer_refusal
+from basilwick.transport.raw_response import ErrorResponse, RawResponse
+from basilwick.transport.request_meter import RequestMeter, fail_body, measure_head
 
 if TYPE_CHECKING:
-    from asyncio import BaseTransport, TimerHandle
+    from asyncio import BaseTransport, TimerHandle, Transport
 
-    from aiohttp import StreamReader
-    from aiohttp.http import RawRequestMessage
     from aiohttp.web import BaseRequest
 
-    from basilwick.core.errors import Refusal
+    from basilwick.core.caller_budget import CallerBudget
 
 __all__ = ["READ_BYTES", "CallerConnection"]
 
@@ -41,61 +40,23 @@
 #: Bytes of empty lines before a request that count as part of the idle time. Some
 #: callers send an empty line or two behind a body.
 _MAX_IDLE_EMPTY_BYTES = 16
-#: Bytes of chunk sizes, extensions and trailers that a body may have beyond its own
-#: length. The overhead exceeds the length only in chunks under 6 bytes.
-_MAX_CHUNK_OVERHEAD_BYTES = 64 << 10
+#: Unsent bytes that the kernel buffers for a caller. One write of the event loop fills
+#: them again, so that a fast caller waits for none.
+_MAX_KERNEL_UNSENT_BYTES = 64 << 10
+#: Largest part of one answer that is read from its server before the caller reads.
+_MAX_READ_AHEAD_BYTES = 1 << 20
 _HEAD_TOO_LARGE = 431
+#: Answer on a connection for which there is no descriptor. No request was read.
+_NO_ROOM = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 
 class _HeadTooLargeError(Exception):
     """The bytes of a request head exceed the limit."""
 
 
-@define(eq=False, slots=True)
-class _Input:
-    """What was received of the request that is read now.
-
-    Attributes
-    ----------
-    head_bytes : int
-        Bytes of an incomplete head, with the empty lines before it.
-    empty : bool
-        Whether these are empty lines only.
-    body : aiohttp.StreamReader or None
-        Incomplete body.
-    body_wire_bytes : int
-        Bytes that were received for it, with the overhead of its chunks.
-    refused : bool
-        Whether a limit was exceeded. Nothing is parsed after that.
-    """
-
-    head_bytes: int = 0
-    empty: bool = True
-    body: StreamReader | None = None
-    body_wire_bytes: int = 0
-    refused: bool = False
-
-    @property
-    def chunk_overhead(self) -> int:
-        """Bytes of the incomplete body that are not its content."""
-        if self.body is None:
-            return 0
-        return self.body_wire_bytes - self.body.total_bytes
-
-    @property
-    def has_tiny_chunks(self) -> bool:
-        """Whether the overhead of the chunks exceeds their content."""
-        return self.body is not None and self.chunk_overhead > self.body.total_bytes
-
-    @property
-    def exceeds_overhead(self) -> bool:
-        """Whether the chunks of the body have more overhead than is accepted."""
-        if self.body is None:
-            return False
-        excess = self.chunk_overhead - self.body.total_bytes
-        return excess > _MAX_CHUNK_OVERHEAD_BYTES
-
-
 class CallerConnection(RequestHandler, BufferedProtocol):
     """Connection handler that bounds what one caller can make the process hold.
 
@@ -104,10 +65,27 @@
     Malformed requests are answered with the JSON refusals of the interface.
     """
 
-    __slots__ = ("_active_at", "_head_since", "_head_timer", "_input")
-
-    def __init__(self, manager: Any, **kwargs: Any):
+    __slots__ = (
+        "_active_at",
+        "_budget",
+        "_head_since",
+        "_head_timer",
+        "_held_bytes",
+        "_meter",
+        "_unread_bytes",
+        "_unread_since",
+        "_unsent_bytes",
+    )
+
+    def __init__(self, manager: Any, budget: CallerBudget, **kwargs: Any):
         super().__init__(manager, **kwargs)
+        self._budget = budget
+        #: Bytes that are counted for unhandled requests and for unsent answers.
+        self._held_bytes = self._unsent_bytes = 0
+        #: Time since which the caller has read nothing of a full write buffer, None
+        #: while it is not full, and the size of the buffer then.
+        self._unread_since: float | None = None
+        self._unread_bytes = 0
         self._max_msg_queue_size = _MAX_QUEUED_REQUESTS
         self._msg_queue_resume_size = _MAX_QUEUED_REQUESTS // 2
         # aiohttp gives no access to the number of requests that its parser reads ahead.
@@ -126,23 +104,100 @@
         #: Time at which an incomplete request head began, None without one.
         self._head_since: float | None = None
         self._head_timer: TimerHandle | None = None
-        self._input = _Input()
+        self._meter = RequestMeter()
 
     def connection_made(self, transport: BaseTransport) -> None:
         """Start to wait for the first request."""
         self._active_at = self._loop.time()
+        if self._budget.max_bytes:
+            # The kernel buffers megabytes for a caller that does not read, and the
+            # machine's memory includes them.
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, _MAX_KERNEL_UNSENT_BYTES)
         super().connection_made(transport)
+        if not self._manager.make_room(self):
+            transport.write(_NO_ROOM)
+            self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the running request and the timers."""
         if self._head_timer is not None:
             self._head_timer.cancel()
+        self._budget.add(-self._held_bytes - self._unsent_bytes)
+        self._held_bytes = self._unsent_bytes = 0
+        if self._manager is not None:
+            self._manager.discard(self)
         super().connection_lost(exc)
 
+    async def start(self) -> None:
+        """Handle the requests, and abort the connection if its answers stay unread.
+
+        The transport keeps a closed connection until all its data is sent.
+        """
+        transport = self.transport
+        try:
+            await super().start()
+        finally:
+            if transport is not None:
+                self._abort_unless_sent(transport, None)
+
+    def _abort_unless_sent(self, transport: Transport, unsent: int | None) -> None:
+        left = transport.get_write_buffer_size()
+        if unsent is not None and left >= unsent:
+            transport.abort()
+        elif left:
+            self._loop.call_later(
+                self._keepalive_timeout, self._abort_unless_sent, transport, left
+            )
+
+    def resume_writing(self) -> None:
+        """Wake up the sender; the caller has read most of its answers."""
+        super().resume_writing()
+        self._unread_since = None
+        self.count_unsent()
+
+    def count_unsent(self, more_bytes: int = 0) -> None:
+        """Count the bytes of answers that the caller has not read.
+
+        Parameters
+        ----------
+        more_bytes : int
+            Bytes of the answer that wait elsewhere.
+        """
+        if self.transport is None:
+            return
+        unsent = 0
+        if self._paused:
+            self._unread_bytes = self.transport.get_write_buffer_size()
+            unsent = self._unread_bytes + more_bytes
+            if self._unread_since is None:
+                self._unread_since = self._loop.time()
+        self._budget.add(unsent - self._unsent_bytes)
+        self._unsent_bytes = unsent
+
+    def may_read_ahead(self, size: int) -> bool:
+        """Return whether a part of an answer may be taken from its server now.
+
+        The caller has not read the parts before it yet.
+        """
+        if self.transport is None or not self._budget.max_bytes:
+            return False
+        unsent = self.transport.get_write_buffer_size()
+        return unsent < _MAX_READ_AHEAD_BYTES and self._budget.may_read_ahead(size)
+
+    def count_held(self) -> None:
+        """Count the bytes of requests that are not handled yet."""
+        held = self._meter.head_bytes
+        for message, payload in self._messages:
+            if not isinstance(message, _ErrInfo):
+                held += measure_head(message) + payload.total_bytes
+        self._budget.add(held - self._held_bytes)
+        self._held_bytes = held
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of the next read, which all connections share."""
         size = READ_BYTES
-        if self._input.has_tiny_chunks:
+        if self._meter.has_tiny_chunks:
             size = _TINY_CHUNKS_READ_BYTES
         return self._manager.read_buffer[:size]
 
@@ -153,33 +208,37 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data; empty data resumes the parser where it paused."""
-        state = self._input
-        if state.refused:
+        meter = self._meter
+        if meter.refused:
             return
         if data:
             self._active_at = self._loop.time()
-        if state.body is not None:
-            state.body_wire_bytes += len(data)
+        if meter.body is not None:
+            meter.body_wire_bytes += len(data)
         known = self._request_count
         super().data_received(data)
         if self._request_count > known:
             self._begin_requests(self._request_count - known)
-        elif state.body is not None:
-            self._check_body(state)
+        elif meter.body is not None:
+            self._check_body(meter)
         elif data:
-            self._add_to_head(state, data)
+            self._add_to_head(meter, data)
         if not self._awaits_request:
             self._head_since = None
+        self.count_held()
+        if self._messages and self._budget.exhausted and not self._buffer_paused:
+            # Resumes when the requests that were read are handled.
+            self._pause_reading_for_buffer()
 
     def _begin_requests(self, count: int) -> None:
         """Note the requests whose heads were read now."""
-        state = self._input
-        if state.body is not None and not state.body.is_eof():
+        meter = self._meter
+        if meter.body is not None and not meter.body.is_eof():
             # Requests follow a body only at its end; this one can't be parsed.
-            _fail_body(state.body, "the body is malformed")
+            fail_body(meter.body, "the body is malformed")
         self._head_since = None
-        state.head_bytes, state.empty = 0, True
-        state.body, state.body_wire_bytes = None, 0
+        meter.head_bytes, meter.empty = 0, True
+        meter.body, meter.body_wire_bytes = None, 0
         first = len(self._messages) - count
         limit = self._manager.max_head_bytes
         for index in range(first, len(self._messages)):
@@ -187,31 +246,30 @@
             if isinstance(message, _ErrInfo):
                 self._stop_reading()
                 return
-            if _measure_head(message) > limit:
+            if measure_head(message) > limit:
                 while len(self._messages) > index:
                     self._messages.pop()
                 self._refuse_head(limit)
                 return
         if not payload.is_eof():
-            state.body = payload
+            meter.body = payload
 
-    def _check_body(self, state: _Input) -> None:
-        if state.body.is_eof():
-            state.body = None
-        elif state.exceeds_overhead:
+    def _check_body(self, meter: RequestMeter) -> None:
+        if meter.body.is_eof():
+            meter.body = None
+        elif meter.exceeds_overhead:
             self._log_refusal("body in too small chunks")
             self._stop_reading()
-            _fail_body(state.body, "the chunks of the body are too small")
+            fail_body(meter.body, "the chunks of the body are too small")
 
-    def _add_to_head(self, state: _Input, data: bytes) -> None:
+    def _add_to_head(self, meter: RequestMeter, data: bytes) -> None:
         """Count the bytes of a head that is incomplete."""
-        state.head_bytes += len(data)
-        state.empty = state.empty and not data.strip(b"\r\n")
+        meter.add_to_head(data)
         limit = self._manager.max_head_bytes
-        if state.head_bytes > limit:
+        if meter.head_bytes > limit:
             self._refuse_head(limit)
         elif self._head_since is None and (
-            not state.empty or state.head_bytes > _MAX_IDLE_EMPTY_BYTES
+            not meter.empty or meter.head_bytes > _MAX_IDLE_EMPTY_BYTES
         ):
             self._head_since = self._active_at
             if self._head_timer is None:
@@ -229,12 +287,12 @@
 
     def _stop_reading(self) -> None:
         """Read nothing more; the connection closes after the pending answers."""
-        self._input.refused = True
+        self._meter.refused = True
         self._head_since = None
         self._pause_transport_reading()
 
     def _resume_transport_reading(self) -> None:
-        if not self._input.refused:
+        if not self._meter.refused:
             super()._resume_transport_reading()
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -259,7 +317,7 @@
     @property
     def draining(self) -> bool:
         """Whether the connection closes after its last pending answer."""
-        if self._input.refused:
+        if self._meter.refused:
             return True
         return self._manager is not None and self._manager.draining
 
@@ -268,6 +326,31 @@
         """Whether pipelined requests wait behind the current one."""
         return bool(self._messages)
 
+    @property
+    def idle(self) -> IdleConnection[CallerConnection] | None:
+        """How long the connection is idle; None while a request is handled or waits."""
+        if not self._awaits_request:
+            return None
+        return IdleConnection(self, self._active_at, self._request_count > 0)
+
+    @property
+    def unread(self) -> UnreadConnection[CallerConnection] | None:
+        """What the caller has not read of its answers; None while it reads."""
+        if self._unread_since is None or self.transport is None:
+            return None
+        left = self.transport.get_write_buffer_size()
+        if left < self._unread_bytes:
+            self._unread_since, self._unread_bytes = self._loop.time(), left
+        return UnreadConnection(self, self._unread_since, self._unsent_bytes)
+
+    def close_for_room(self) -> None:
+        """Close an idle connection, or reset one whose answers are not read."""
+        if self._unread_since is None:
+            self.force_close()
+        elif self.transport is not None:
+            self._log_refusal("answers not read")
+            self.transport.abort()
+
     def close_if_idle(self, idle_s: float) -> None:
         """Close unless a request is pending or incomplete, or data arrived recently."""
         idle = self._loop.time() - self._active_at >= idle_s
@@ -310,37 +393,7 @@
         text = "the request cannot be read"
         if isinstance(exc, _HeadTooLargeError):
             refusal = make_refusal(ErrorKind.TOO_LARGE, str(exc))
-            return _ErrorResponse(request, refusal, _HEAD_TOO_LARGE)
+            return ErrorResponse(request, refusal, _HEAD_TOO_LARGE)
         if isinstance(exc, LineTooLong) or "too many headers" in str(exc).lower():
             kind, text = ErrorKind.TOO_LARGE, "a header or the path is too long"
-        return _ErrorResponse(request, make_refusal(kind, text))
-
-
-class _ErrorResponse(RawResponse):
-    """Refusal that is written when aiohttp prepares the response."""
-
-    def __init__(self, request: BaseRequest, refusal: Refusal, status: int = 0):
-        super().__init__(request, keep_alive=False)
-        self._answer = answer_refusal(refusal)
-        if status:
-            answer = self._answer
-            self._answer = Answer(status, answer.fields, answer.body)
-
-    async def prepare(self, request: BaseRequest) -> None:
-        self._request = request
-        await self.send(self._answer)
-
-
-def _fail_body(body: StreamReader, reason: str) -> None:
-    """Make a body fail at its next read; nothing more of it is awaited."""
-    body.set_exception(RequestPayloadError(reason))
-    body.feed_eof()
-
-
-def _measure_head(message: RawRequestMessage) -> int:
-    """Return the length of a request head in bytes, without optional white space."""
-    # A space, the version and two line ends follow the method and the path.
-    size = len(message.method) + len(message.path) + 14
-    for name, value in message.raw_headers:
-        size += len(name) + len(value) + 4
-    return size
+        return ErrorResponse(request, make_refusal(kind, text))
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from asyncio import BufferedProtocol
 from itertools import count
 from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_USER_TIMEOUT
 from struct import pack
@@ -35,6 +36,10 @@
 
 #: SO_LINGER enabled with a timeout of 0 s: closing the socket resets the connection.
 RESET_ON_CLOSE = pack("ii", 1, 0)
+#: Largest number of bytes of one read, and of a body that are held while nobody reads
+#: it. A connection holds at most the sum.
+_READ_BYTES = 64 << 10
+_MAX_UNREAD_BODY_BYTES = 64 << 10
 #: Parsed answers that may be queued behind the one that is read. More of them close the
 #: connection, because no request asked for them.
 _MAX_QUEUED_ANSWERS = 8
@@ -57,7 +62,7 @@
     """A head was cut off and another one followed, so neither can be trusted."""
 
 
-class HttpConnection(ResponseHandler):
+class HttpConnection(ResponseHandler, BufferedProtocol):
     """One HTTP/1.1 connection that carries one request at a time.
 
     aiohttp's protocol class parses the answers. `aiohttp.ClientSession` is not used,
@@ -85,6 +90,7 @@
     ):
         super().__init__(loop)
         self._clock = clock
+        self._read_buffer = bytearray()
         self._on_unrequested = on_unrequested
         self.number = next(_numbers)
         self.requests = 0
@@ -112,6 +118,16 @@
         sock = self.transport.get_extra_info("socket")
         sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, round(limit_s * 1000))
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer of the next read."""
+        self._read_buffer = bytearray(_READ_BYTES)
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer."""
+        data, self._read_buffer = self._read_buffer, bytearray()
+        self.data_received(bytes(memoryview(data)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Record the time of arrival and parse the data.
 
@@ -203,7 +219,10 @@
         if no_body is not self._no_body:
             self._no_body = no_body
             self.set_response_params(
-                skip_payload=no_body, read_until_eof=True, auto_decompress=False
+                skip_payload=no_body,
+                read_until_eof=True,
+                auto_decompress=False,
+                read_bufsize=_MAX_UNREAD_BODY_BYTES // 2,
             )
         self.transport.write(head)
 
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -7,6 +7,11 @@
 
 from aiohttp.web import RequestHandler, Server
 
+from basilwick.core.caller_budget import (
+    CallerBudget,
+    choose_connections_to_abort,
+    choose_connections_to_close,
+)
 from basilwick.transport.caller_connection import READ_BYTES, CallerConnection
 from basilwick.transport.raw_response import RawResponse, answer_refusal
 
@@ -15,6 +20,8 @@
 
     from aiohttp.web import BaseRequest
 
+    from basilwick.core.caller_budget import UnreadConnection
+
 __all__ = ["HttpServer", "RawResponse", "answer_refusal"]
 
 #: Default limit in bytes of the request line and of each header field.
@@ -23,6 +30,12 @@
 _MAX_FIELDS = 64
 #: Default limit in bytes of a whole request head.
 _MAX_HEAD_BYTES = 65_536
+#: Connections that the kernel holds until they are accepted.
+_BACKLOG = 1024
+#: Connections that are accepted before those that were accepted can be closed again.
+#: asyncio uses one number for this and for the backlog of the kernel. A connection is
+#: closed three turns later, so several times as many are open beyond the bound.
+_ACCEPTS_PER_TURN = 4
 #: Default time in seconds after which an idle connection is closed.
 _KEEP_ALIVE_TIMEOUT_S = 75.0
 #: Time in seconds for which the rest of a refused body is read and discarded, so that
@@ -33,6 +46,9 @@
 #: Time in seconds without received data after which a graceful shutdown closes a
 #: connection. A request that is sent right after its connection opened is still read.
 _DRAIN_IDLE_S = 0.25
+#: Shortest interval in seconds between searches for connections that can be closed,
+#: which look at all connections.
+_SEARCH_INTERVAL_S = 0.1
 #: Interval in seconds at which a graceful shutdown checks the open connections.
 _DRAIN_INTERVAL_S = 0.02
 
@@ -47,13 +63,72 @@
     #: Limit in bytes of a whole request head.
     max_head_bytes = _MAX_HEAD_BYTES
 
-    def __init__(self, handler: Callable[..., Any], **kwargs: Any):
+    def __init__(
+        self,
+        handler: Callable[..., Any],
+        budget: CallerBudget,
+        max_connections: int,
+        **kwargs: Any,
+    ):
         super().__init__(handler, **kwargs)
         #: Buffer of each read. What it received is copied before the next read.
         self.read_buffer = memoryview(bytearray(READ_BYTES))
+        self.budget = budget
+        self._max_connections = max_connections
+        self._open: set[CallerConnection] = set()
+        self._next_abort_at = self._next_search_at = 0.0
 
     def __call__(self) -> RequestHandler:
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(self, self.budget, loop=self._loop, **self._kwargs)
+
+    def set_head_limit(self, max_bytes: int) -> None:
+        """Change the limit of a head, and let one field of new connections fill it."""
+        self.max_head_bytes = max_bytes
+        for name in ("max_line_size", "max_field_size"):
+            self._kwargs[name] = max(self._kwargs[name], max_bytes)
+
+    def make_room(self, connection: CallerConnection) -> bool:
+        """Note a new connection, and close idle ones if there are too many.
+
+        Returns whether the new one may stay.
+        """
+        limit = self._max_connections
+        if limit and len(self._open) >= limit:
+            self._close_for_room(limit)
+            if len(self._open) >= limit:
+                return False
+        self._open.add(connection)
+        return True
+
+    def _close_for_room(self, limit: int) -> None:
+        now = self._loop.time()
+        if now < self._next_search_at:
+            return
+        idle = [item for one in self._open if (item := one.idle) is not None]
+        victims = choose_connections_to_close(idle, self._list_unread(), limit, now)
+        for victim in victims:
+            self._open.discard(victim)
+            victim.close_for_room()
+        if not victims:
+            self._next_search_at = now + _SEARCH_INTERVAL_S
+
+    def discard(self, connection: CallerConnection) -> None:
+        """Note that a connection is closed."""
+        self._open.discard(connection)
+
+    def abort_unread(self) -> None:
+        """Abort connections whose unread answers leave no room for other requests."""
+        now = self._loop.time()
+        if now < self._next_abort_at:
+            return
+        self._next_abort_at = now + _SEARCH_INTERVAL_S
+        for victim in choose_connections_to_abort(
+            self._list_unread(), self.budget, now
+        ):
+            victim.close_for_room()
+
+    def _list_unread(self) -> list[UnreadConnection[CallerConnection]]:
+        return [item for one in self._open if (item := one.unread) is not None]
 
     def set_idle_timeout(self, seconds: float) -> None:
         self._kwargs["keepalive_timeout"] = seconds
@@ -74,6 +149,10 @@
         Limit in bytes of the request line and of each header field.
     max_head_bytes : int
         Limit in bytes of a whole request head.
+    budget : CallerBudget, optional
+        Counts the bytes that are held for callers; without a limit by default.
+    max_connections : int
+        Largest number of connections, 0 for no limit.
     """
 
     def __init__(
@@ -83,7 +162,11 @@
         keep_alive_s: float = _KEEP_ALIVE_TIMEOUT_S,
         max_field_bytes: int = _MAX_FIELD_BYTES,
         max_head_bytes: int = _MAX_HEAD_BYTES,
+        budget: CallerBudget | None = None,
+        max_connections: int = 0,
     ):
+        self.budget = CallerBudget() if budget is None else budget
+        self._max_connections = max_connections
         self._keep_alive_s = keep_alive_s
         self._max_field_bytes = max_field_bytes
         self._max_head_bytes = max_head_bytes
@@ -109,9 +192,12 @@
         # the request to the backend server.
         self._connection_handlers = _ConnectionHandlers(
             self._handle_counted,
+            self.budget,
+            self._max_connections,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
+            read_bufsize=READ_BYTES,
             keepalive_timeout=self._keep_alive_s,
             lingering_time=_LINGER_TIMEOUT_S,
             max_line_size=self._max_field_bytes,
@@ -120,9 +206,20 @@
         )
         self._connection_handlers.max_head_bytes = self._max_head_bytes
         self._server = await loop.create_server(
-            self._connection_handlers, self._host, self._port, backlog=1024
+            self._connection_handlers,
+            self._host,
+            self._port,
+            backlog=_ACCEPTS_PER_TURN,
         )
         self._port = self._server.sockets[0].getsockname()[1]
+        for listening in self._server.sockets:
+            with listening.dup() as sock:
+                sock.listen(_BACKLOG)
+
+    def abort_unread(self) -> None:
+        """Abort connections whose unread answers leave no room for other requests."""
+        if self._connection_handlers is not None:
+            self._connection_handlers.abort_unread()
 
     def set_timeouts(self, idle_s: float, head_s: float) -> None:
         """Change the timeouts of connections.
@@ -144,7 +241,7 @@
         """Change the limit in bytes of a whole request head."""
         self._max_head_bytes = max_bytes
         if self._connection_handlers is not None:
-            self._connection_handlers.max_head_bytes = max_bytes
+            self._connection_handlers.set_head_limit(max_bytes)
 
     def announce_close(self) -> None:
         """Send Connection: close with the next answers and close after them."""
@@ -202,6 +299,7 @@
     async def _handle_counted(self, request: BaseRequest) -> RawResponse:
         self.running += 1
         self._idle.clear()
+        request.protocol.count_held()
         try:
             return await self._handler(request)
         finally:
--- a/basilwick/transport/raw_response.py
+++ b/basilwick/transport/raw_response.py
@@ -16,7 +16,7 @@
     from basilwick.core.errors import Refusal
     from basilwick.transport.exchange import ByteStream
 
-__all__ = ["RawResponse", "answer_refusal"]
+__all__ = ["ErrorResponse", "RawResponse", "answer_refusal"]
 
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
@@ -145,6 +145,7 @@
             lines.append(body)
         self._write(b"".join(lines))
         if request.protocol.writing_paused:
+            request.protocol.count_unsent()
             await request.writer.drain()
 
     def _write(self, data: bytes) -> None:
@@ -166,3 +167,25 @@
             body.close()
             if not ended:
                 self.abort()
+
+
+class ErrorResponse(RawResponse):
+    """Refusal that is written when aiohttp prepares the response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status, 0 for that of the refusal's kind.
+    """
+
+    def __init__(self, request: BaseRequest, refusal: Refusal, status: int = 0):
+        super().__init__(request, keep_alive=False)
+        self._answer = answer_refusal(refusal)
+        if status:
+            answer = self._answer
+            self._answer = Answer(status, answer.fields, answer.body)
+
+    async def prepare(self, request: BaseRequest) -> None:
+        """Send the refusal on the request that aiohttp made for it."""
+        self._request = request
+        await self.send(self._answer)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -431,6 +431,20 @@
     assert load_deployment(path).cores == 0.0
 
 
+def test_limits_of_the_machine_are_read(tmp_path):
+    """An instance did not know its memory and was killed when callers filled it."""
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    deployment = load_deployment(path)
+    assert (deployment.memory_bytes, deployment.descriptors) == (0, 0)
+    assert not deployment.memory_pressure
+    limits = "[localNode.limits]\nmemoryMb = 200\nfileDescriptors = 4100\n"
+    path.write_text(SETTINGS + limits + '[terms]\ncontracts = ["x", "pressure"]\n')
+    deployment = load_deployment(path)
+    assert (deployment.memory_bytes, deployment.descriptors) == (200 << 20, 4100)
+    assert deployment.memory_pressure
+
+
 @pytest.mark.parametrize(
     ("old", "new", "field"),
     [
--- a/tests/transport/test_body_sender.py
+++ b/tests/transport/test_body_sender.py
@@ -140,3 +140,21 @@
     with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
         await read_body(reader)
     writer.close()
+
+
+@pytest.mark.parametrize(("max_bytes", "left"), [(4 << 20, 0), (256 << 10, 10)])
+async def test_a_server_is_read_from_while_the_caller_pauses(instance, max_bytes, left):
+    """A server cut off an answer that was left unread for a slow caller.
+
+    Only the budget of all answers ends the reading.
+    """
+    instance.server.budget.max_bytes = max_bytes
+    body = instance.body = ScriptedBody(40)
+    reader, writer = await instance.open()
+    writer.write(REQUEST)
+    await asyncio.sleep(TIME_LIMIT_S / 2)
+    assert body.pieces >= left
+    assert not body.pieces or left
+    assert await read_body(reader) == 40 * PIECE
+    writer.close()
+    assert instance.server.budget.held_bytes == 0
--- a/tests/transport/test_caller_connection.py
+++ b/tests/transport/test_caller_connection.py
@@ -74,7 +74,8 @@
         step = -(-len(data) // pieces)
         return [data[at : at + step] for at in range(0, len(data), step)]
 
-    received, _ = await send(server, *split(make_head(HEAD_BYTES)), pause_s=0.002)
+    whole = split(b"\r\n" + make_head(HEAD_BYTES))
+    received, _ = await send(server, *whole, pause_s=0.002)
     assert received.startswith(b"HTTP/1.1 200")
     received, ended = await send(
         server, *split(make_head(HEAD_BYTES + 1)), pause_s=0.002
