Count bodies and answers before they are held

In trials with 200 MB and 4,100 descriptors in the settings, 200 uploads of 900 KB that never ended took 180 MB of resident memory, and 400 unread answers of 500 KB 170 MB. All uploads found the same room when they began, and requests were admitted before the first answer counted.

The length that a body states is counted before it is read, and a body without a length turns into a stream when the room is used up. Each request that is handled counts with 64 KiB. Bodies and answers that are read ahead leave half of the budget. A connection to a server reads 32 KiB at a time and holds at most 64 KiB; the start of an answer inside a body is also found across two reads.

With the uploads, an ordinary order had no answer while the crowd acted: streamed uploads hold all slots of the one server of the trial until their time-out of 5 s. It was answered afterwards.

--- a/basilwick/core/caller_budget.py
+++ b/basilwick/core/caller_budget.py
@@ -34,9 +34,9 @@
 #: Share of the descriptors for callers' connections. Each request needs another one for
 #: the connection to its server; the rest is for links and the platform's service.
 _DESCRIPTOR_SHARE = 0.4
-#: Part (1/n) of the bytes that are left over by answers that are read ahead, so that
-#: they alone never make an instance refuse requests.
-_READ_AHEAD_RESERVE_DIVISOR = 4
+#: Part (1/n) of the bytes that are left over by bodies and by answers that are read
+#: ahead, so that they alone never make an instance refuse requests.
+_READ_AHEAD_RESERVE_DIVISOR = 2
 #: Time in seconds for which a caller may read nothing while the bytes for callers are
 #: used up. A lost packet delays a caller that reads by less.
 _UNREAD_LIMIT_S = 1.0
--- a/basilwick/runtime/fleet/caller_admission.py
+++ b/basilwick/runtime/fleet/caller_admission.py
@@ -22,6 +22,9 @@
 
 #: Retry-After in seconds. Callers that do not read are cut off within about a second.
 _RETRY_AFTER_S = 1.0
+#: Bytes that each request may hold before they are counted: what the connection to a
+#: server has read of an answer. Many requests may be admitted before the first answer.
+_REQUEST_BYTES = 64 << 10
 _SERVICE_UNAVAILABLE = 503
 
 
@@ -51,7 +54,11 @@
         if self._budget.exhausted:
             self._free_memory()
         if not self._budget.exhausted:
-            return await self._handler(raw)
+            self._budget.add(_REQUEST_BYTES)
+            try:
+                return await self._handler(raw)
+            finally:
+                self._budget.add(-_REQUEST_BYTES)
         self._metrics.memory_refusals.inc()
         held_bytes = self._budget.held_bytes
         log_request_line("request refused for memory", held_bytes=held_bytes)
--- a/basilwick/runtime/fleet/caller_body_reader.py
+++ b/basilwick/runtime/fleet/caller_body_reader.py
@@ -47,10 +47,13 @@
         Whole body, which can be sent again, or a stream that can be read once.
     framing : bytes
         Encoded header fields that give the length or the transfer coding of the body.
+    first_bytes : int
+        Bytes of a stream that were buffered before it was known to be one.
     """
 
     content: bytes | ByteStream = b""
     framing: bytes = b""
+    first_bytes: int = 0
 
     @property
     def replayable(self) -> bool:
@@ -108,7 +111,7 @@
             stream = RequestBody(raw.content, length, None, raw.transport)
             self.budget.add(_STREAM_BYTES)
             return CallerBody(stream, _encode_content_length(length))
-        buffered, ended = await self._buffer(raw, max_buffered_bytes)
+        buffered, ended = await self._buffer(raw, length, max_buffered_bytes)
         if ended:
             return CallerBody(buffered, _encode_content_length(len(buffered)))
         stream = RequestBody(
@@ -119,16 +122,17 @@
             first_chunk=buffered,
             max_bytes=max_body_bytes,
         )
-        self._count(-len(buffered))
+        self.buffered_bytes -= len(buffered)
         self.budget.add(_STREAM_BYTES)
-        return CallerBody(stream, b"Transfer-Encoding: chunked\r\n")
+        framing = b"Transfer-Encoding: chunked\r\n"
+        return CallerBody(stream, framing, len(buffered))
 
     def release(self, body: CallerBody) -> None:
         """Release the buffer of a request that has ended."""
         if body.replayable:
             self._count(-body.size)
         else:
-            self.budget.add(-_STREAM_BYTES)
+            self.budget.add(-_STREAM_BYTES - body.first_bytes)
 
     def _count(self, size: int) -> None:
         self.buffered_bytes += size
@@ -142,11 +146,17 @@
         return _SMALL_BODY_BYTES if full else _MAX_BUFFERED_BODY_BYTES
 
     async def _buffer(
-        self, raw: BaseRequest, max_buffered_bytes: int
+        self, raw: BaseRequest, length: int | None, max_buffered_bytes: int
     ) -> tuple[bytes, bool]:
-        """Return the body up to just beyond a size, and whether it ended by then."""
+        """Return the body up to just beyond a size, and whether it ended by then.
+
+        A known length is counted at once. Otherwise all bodies that begin together
+        would find the same room.
+        """
         chunks = []
         size = 0
+        counted = length or 0
+        self._count(counted)
         ended = False
         try:
             while size <= max_buffered_bytes:
@@ -156,14 +166,19 @@
                     break
                 chunks.append(chunk)
                 size += len(chunk)
-                self._count(len(chunk))
+                if size > counted:
+                    self._count(size - counted)
+                    counted = size
+                if length is None:
+                    max_buffered_bytes = self._get_max_buffered_bytes()
         except (RequestPayloadError, ConnectionError) as error:
-            self._count(-size)
+            self._count(-counted)
             raise BodyRejectedError(_BAD_REQUEST) from error
         except BaseException:
             # A timeout or a disconnected caller has cancelled the read.
-            self._count(-size)
+            self._count(-counted)
             raise
+        self._count(size - counted)
         return b"".join(chunks), ended
 
 
--- a/basilwick/transport/body_sender.py
+++ b/basilwick/transport/body_sender.py
@@ -21,7 +21,7 @@
 #: read from the socket's buffer.
 _REST_TIMEOUT_S = 0.1
 #: Bytes that the connection to a server holds of an answer that is not read from it.
-_SERVER_BUFFER_BYTES = 128 << 10
+_SERVER_BUFFER_BYTES = 64 << 10
 _LATE = "the server did not send the whole answer in time"
 
 
@@ -101,7 +101,7 @@
         protocol = self._request.protocol
         if not protocol.writing_paused:
             return False
-        protocol.count_unsent(_SERVER_BUFFER_BYTES)
+        protocol.count_unsent()
         in_time = self._deadline is None or self._loop.time() < self._deadline
         self._read_ahead = in_time and protocol.may_read_ahead(_SERVER_BUFFER_BYTES)
         return self._read_ahead
--- a/basilwick/transport/caller_connection.py
+++ b/basilwick/transport/caller_connection.py
@@ -156,20 +156,14 @@
         self._unread_since = None
         self.count_unsent()
 
-    def count_unsent(self, more_bytes: int = 0) -> None:
-        """Count the bytes of answers that the caller has not read.
-
-        Parameters
-        ----------
-        more_bytes : int
-            Bytes of the answer that wait elsewhere.
-        """
+    def count_unsent(self) -> None:
+        """Count the bytes of answers that the caller has not read."""
         if self.transport is None:
             return
         unsent = 0
         if self._paused:
             self._unread_bytes = self.transport.get_write_buffer_size()
-            unsent = self._unread_bytes + more_bytes
+            unsent = self._unread_bytes
             if self._unread_since is None:
                 self._unread_since = self._loop.time()
         self._budget.add(unsent - self._unsent_bytes)
--- a/basilwick/transport/connection.py
+++ b/basilwick/transport/connection.py
@@ -38,8 +38,8 @@
 RESET_ON_CLOSE = pack("ii", 1, 0)
 #: Largest number of bytes of one read, and of a body that are held while nobody reads
 #: it. A connection holds at most the sum.
-_READ_BYTES = 64 << 10
-_MAX_UNREAD_BODY_BYTES = 64 << 10
+_READ_BYTES = 32 << 10
+_MAX_UNREAD_BODY_BYTES = 32 << 10
 #: Parsed answers that may be queued behind the one that is read. More of them close the
 #: connection, because no request asked for them.
 _MAX_QUEUED_ANSWERS = 8
@@ -100,6 +100,8 @@
         self._identities: set[bytes] = set()
         #: Whether data within the body held the start of an answer.
         self._head_in_body = False
+        #: Last bytes of a body, where the start of an answer may begin.
+        self._body_end = b""
         #: Whether a request was sent whose answer has not been read to its end.
         self._awaiting_answer = False
 
@@ -153,7 +155,11 @@
         After a body that was cut off, the next answer is read as its rest. Only what
         follows is refused then. A server may also send other data behind a whole body.
         """
-        self._head_in_body |= _ANSWER_START in data
+        seam = self._body_end + data[: len(_ANSWER_START)]
+        self._head_in_body |= _ANSWER_START in data or _ANSWER_START in seam
+        self._body_end = (self._body_end + data[-len(_ANSWER_START) :])[
+            -len(_ANSWER_START) :
+        ]
         super().data_received(data)
         if isinstance(self._exception, HttpProcessingError) and (
             self._head_in_body or not body.is_eof()
@@ -213,6 +219,7 @@
         """
         self._awaiting_answer = True
         self._head_in_body = False
+        self._body_end = b""
         self.requests += 1
         if identity:
             self._identities.add(identity)
--- a/tests/runtime/fleet/test_caller_body_reader.py
+++ b/tests/runtime/fleet/test_caller_body_reader.py
@@ -7,6 +7,7 @@
 import pytest
 from attrs import define, field
 
+from basilwick.core.caller_budget import CallerBudget
 from basilwick.core.errors import Refusal
 from basilwick.runtime.fleet.caller_body_reader import (
     BodyRejectedError,
@@ -70,6 +71,21 @@
     assert reader.buffered_bytes == 0
 
 
+@pytest.mark.parametrize("stated", [True, False])
+async def test_bodies_that_begin_together_share_the_budget(stated):
+    """Each of 200 uploads found the same room, and all of them were buffered."""
+    reader = CallerBodyReader(budget=CallerBudget(8 * MB))
+    requests = [make_request(MB - 1, stated) for _ in range(200)]
+    bodies = await asyncio.gather(
+        *(reader.load(request, MAX_BODY_BYTES) for request in requests)
+    )
+    held = sum(len(body.content) for body in bodies if body.replayable)
+    assert 2 * MB < held <= 8 * MB
+    for body in bodies:
+        reader.release(body)
+    assert reader.budget.held_bytes == 0
+
+
 async def test_a_long_body_without_content_length_is_streamed_in_chunks():
     reader = CallerBodyReader()
     body = await reader.load(make_request(2 * MB, with_length=False), MAX_BODY_BYTES)
