--- a/basilwick/runtime/fleet/caller_body_reader.py
+++ b/basilwick/runtime/fleet/caller_body_reader.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.web import RequestPayloadError
-from attrs import define, frozen
+from attrs import define, field, frozen
 
+from basilwick.core.caller_budget import CallerBudget
 from basilwick.transport.bodies import RequestBody
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
 #: buffered.
 _MAX_BUFFERED_BYTES = 32 << 20
 _SMALL_BODY_BYTES = 16 << 10
+#: Bytes of a streamed body that its connection holds before they are sent.
+_STREAM_BYTES = 48 << 10
 _CONTENT_TOO_LARGE = 413
 _BAD_REQUEST = 400
 
@@ -44,10 +47,13 @@
         Whole body, which can be sent again, or a stream that can be read once.
     framing : bytes
         Encoded header fields that give the length or the transfer coding of the body.
+    first_bytes : int
+        Bytes of a stream that were buffered before it was known to be one.
     """
 
     content: bytes | ByteStream = b""
     framing: bytes = b""
+    first_bytes: int = 0
 
     @property
     def replayable(self) -> bool:
@@ -70,9 +76,12 @@
     ----------
     buffered_bytes : int
         Bytes that are buffered now.
+    budget : CallerBudget
+        Counts them with all else that is held for callers.
     """
 
     buffered_bytes: int = 0
+    budget: CallerBudget = field(factory=CallerBudget)
 
     async def load(self, raw: BaseRequest, max_body_bytes: int) -> CallerBody:
         """Buffer a body whole, or prepare to stream it.
@@ -100,8 +109,9 @@
         max_buffered_bytes = self._get_max_buffered_bytes()
         if length is not None and length > max_buffered_bytes:
             stream = RequestBody(raw.content, length, None, raw.transport)
+            self.budget.add(_STREAM_BYTES)
             return CallerBody(stream, _encode_content_length(length))
-        buffered, ended = await self._buffer(raw, max_buffered_bytes)
+        buffered, ended = await self._buffer(raw, length, max_buffered_bytes)
         if ended:
             return CallerBody(buffered, _encode_content_length(len(buffered)))
         stream = RequestBody(
@@ -113,24 +123,40 @@
             max_bytes=max_body_bytes,
         )
         self.buffered_bytes -= len(buffered)
-        return CallerBody(stream, b"Transfer-Encoding: chunked\r\n")
+        self.budget.add(_STREAM_BYTES)
+        framing = b"Transfer-Encoding: chunked\r\n"
+        return CallerBody(stream, framing, len(buffered))
 
     def release(self, body: CallerBody) -> None:
         """Release the buffer of a request that has ended."""
         if body.replayable:
-            self.buffered_bytes -= body.size
+            self._count(-body.size)
+        else:
+            self.budget.add(-_STREAM_BYTES - body.first_bytes)
+
+    def _count(self, size: int) -> None:
+        self.buffered_bytes += size
+        self.budget.add(size)
 
     def _get_max_buffered_bytes(self) -> int:
         """Return the size in bytes up to which a body is buffered whole now."""
         full = self.buffered_bytes + _MAX_BUFFERED_BODY_BYTES > _MAX_BUFFERED_BYTES
+        if self.budget.max_bytes:
+            full |= not self.budget.may_read_ahead(_MAX_BUFFERED_BODY_BYTES)
         return _SMALL_BODY_BYTES if full else _MAX_BUFFERED_BODY_BYTES
 
     async def _buffer(
-        self, raw: BaseRequest, max_buffered_bytes: int
+        self, raw: BaseRequest, length: int | None, max_buffered_bytes: int
     ) -> tuple[bytes, bool]:
-        """Return the body up to just beyond a size, and whether it ended by then."""
+        """Return the body up to just beyond a size, and whether it ended by then.
+
+        A known length is counted at once. Otherwise all bodies that begin together
+        would find the same room.
+        """
         chunks = []
         size = 0
+        counted = length or 0
+        self._count(counted)
         ended = False
         try:
             while size <= max_buffered_bytes:
@@ -140,14 +166,19 @@
                     break
                 chunks.append(chunk)
                 size += len(chunk)
-                self.buffered_bytes += len(chunk)
+                if size > counted:
+                    self._count(size - counted)
+                    counted = size
+                if length is None:
+                    max_buffered_bytes = self._get_max_buffered_bytes()
         except (RequestPayloadError, ConnectionError) as error:
-            self.buffered_bytes -= size
+            self._count(-counted)
             raise BodyRejectedError(_BAD_REQUEST) from error
         except BaseException:
             # A timeout or a disconnected caller has cancelled the read.
-            self.buffered_bytes -= size
+            self._count(-counted)
             raise
+        self._count(size - counted)
         return b"".join(chunks), ended
 
 
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -9,6 +9,11 @@
 
 from loguru import logger
 
+from basilwick.core.caller_budget import (
+    CallerBudget,
+    get_max_caller_bytes,
+    get_max_connections,
+)
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.leader_strength import LeaderHandover, Strength
 from basilwick.core.dispatch.load_spread import measure_load_spread
@@ -22,6 +27,7 @@
 from basilwick.metrics import FleetMetrics
 from basilwick.platform.http_messages import read_response_metadata
 from basilwick.platform.key_value_store import KeyValueStore
+from basilwick.runtime.fleet.caller_admission import CallerAdmission
 from basilwick.runtime.fleet.caller_request_handler import CallerRequestHandler
 from basilwick.runtime.fleet.clock import read_clock
 from basilwick.runtime.fleet.dispatch_runner import DispatchRunner
@@ -68,7 +74,8 @@
 #: Share of the grace period, right before that margin, in which requests that wait for
 #: a server are refused.
 _REFUSE_WAITING_SHARE = 0.2
-#: Maximum length in bytes of the request line and of each header field.
+#: Maximum length in bytes of the request line, of each header field, and of a whole
+#: request head until the configuration sets another.
 _MAX_FIELD_BYTES = 16_384
 #: Time in seconds after which a caller's idle connection is closed, until the
 #: configuration sets another.
@@ -157,6 +164,7 @@
         )
         self._fallback = DispatchRunner(fallback, read_clock)
         self._dispatcher = FailoverDispatcher(self._link, self._fallback, read_clock)
+        budget = CallerBudget(get_max_caller_bytes(deployment.memory_bytes))
         self._request_handler = CallerRequestHandler(
             self._view,
             self._dispatcher,
@@ -165,6 +173,7 @@
             self.metrics,
             deployment.data_centre,
             self._watch.get_changes_age,
+            budget,
         )
         self._election = LeaderElection(
             deployment.instance,
@@ -180,12 +189,22 @@
             rng,
         )
         self._role: LeaderRole | None = None
+        admission = CallerAdmission(
+            self._request_handler.handle,
+            budget,
+            self.metrics,
+            lambda: self._caller_server.abort_unread(),
+        )
         self._caller_server = HttpServer(
             deployment.caller_address,
-            self._request_handler.handle,
+            admission.handle,
             _IDLE_TIMEOUT_S,
             _MAX_FIELD_BYTES,
+            _MAX_FIELD_BYTES,
+            budget,
+            get_max_connections(deployment.descriptors),
         )
+        self.metrics.caller_bytes.set_function(lambda: budget.held_bytes)
         self._ready_server = HttpServer(deployment.ready_address, self._respond_ready)
         self._metrics_server = HttpServer(
             deployment.metrics_address, self._respond_metrics
@@ -351,6 +370,7 @@
             self._caller_server.set_timeouts(
                 self._limits.idle_timeout_s, self._limits.header_timeout_s
             )
+            self._caller_server.set_head_limit(self._limits.header_bytes)
 
     def _sample_loads(self) -> None:
         """Record how old and how even the loads are that servers state."""
--- /dev/null
+++ b/basilwick/transport/caller_connection.py
@@ -0,0 +1,393 @@
+"""Connections of callers, which may send anything in any amount."""
+
+from __future__ import annotations
+
+from asyncio import BufferedProtocol
+from socket import IPPROTO_TCP, TCP_NOTSENT_LOWAT
+from typing import TYPE_CHECKING, Any
+
+from aiohttp.http import HttpRequestParser
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.web import RequestHandler, RequestPayloadError
+from aiohttp.web_protocol import _ErrInfo
+from loguru import logger
+
+from basilwick.core.caller_budget import IdleConnection, UnreadConnection
+from basilwick.core.errors import ErrorKind, make_refusal
+from basilwick.logs import log_request_line
+from basilwick.transport.raw_response import ErrorResponse, RawResponse
+from basilwick.transport.request_meter import RequestMeter, fail_body, measure_head
+
+if TYPE_CHECKING:
+    from asyncio import BaseTransport, TimerHandle, Transport
+
+    from aiohttp.web import BaseRequest
+
+    from basilwick.core.caller_budget import CallerBudget
+
+__all__ = ["READ_BYTES", "CallerConnection"]
+
+#: Largest number of bytes that are read and parsed before other connections get their
+#: turn. What a connection holds unparsed is about as much.
+READ_BYTES = 16 << 10
+#: The same inside a body of tiny chunks. Each chunk costs as much as a thousand bytes
+#: of an ordinary body, so the loop would stand still for long.
+_TINY_CHUNKS_READ_BYTES = 2 << 10
+#: Whole requests that are read ahead of the one that is handled. Callers that pipeline
+#: keep their connection busy with a few.
+_MAX_QUEUED_REQUESTS = 4
+#: Bytes of empty lines before a request that count as part of the idle time. Some
+#: callers send an empty line or two behind a body.
+_MAX_IDLE_EMPTY_BYTES = 16
+#: Unsent bytes that the kernel buffers for a caller. One write of the event loop fills
+#: them again, so that a fast caller waits for none.
+_MAX_KERNEL_UNSENT_BYTES = 64 << 10
+#: Largest part of one answer that is read from its server before the caller reads.
+_MAX_READ_AHEAD_BYTES = 1 << 20
+_HEAD_TOO_LARGE = 431
+#: Answer on a connection for which there is no descriptor. No request was read.
+_NO_ROOM = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+
+class _HeadTooLargeError(Exception):
+    """The bytes of a request head exceed the limit."""
+
+
+class CallerConnection(RequestHandler, BufferedProtocol):
+    """Connection handler that bounds what one caller can make the process hold.
+
+    Request heads are limited in size and time from their first byte on, the requests
+    that are read ahead in number, and bodies in the overhead of their chunks.
+    Malformed requests are answered with the JSON refusals of the interface.
+    """
+
+    __slots__ = (
+        "_active_at",
+        "_budget",
+        "_head_since",
+        "_head_timer",
+        "_held_bytes",
+        "_meter",
+        "_unread_bytes",
+        "_unread_since",
+        "_unsent_bytes",
+    )
+
+    def __init__(self, manager: Any, budget: CallerBudget, **kwargs: Any):
+        super().__init__(manager, **kwargs)
+        self._budget = budget
+        #: Bytes that are counted for unhandled requests and for unsent answers.
+        self._held_bytes = self._unsent_bytes = 0
+        #: Time since which the caller has read nothing of a full write buffer, None
+        #: while it is not full, and the size of the buffer then.
+        self._unread_since: float | None = None
+        self._unread_bytes = 0
+        self._max_msg_queue_size = _MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = _MAX_QUEUED_REQUESTS // 2
+        # aiohttp gives no access to the number of requests that its parser reads ahead.
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=_MAX_QUEUED_REQUESTS,
+        )
+        self._active_at = self._loop.time()
+        #: Time at which an incomplete request head began, None without one.
+        self._head_since: float | None = None
+        self._head_timer: TimerHandle | None = None
+        self._meter = RequestMeter()
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        """Start to wait for the first request."""
+        self._active_at = self._loop.time()
+        if self._budget.max_bytes:
+            # The kernel buffers megabytes for a caller that does not read, and the
+            # machine's memory includes them.
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(IPPROTO_TCP, TCP_NOTSENT_LOWAT, _MAX_KERNEL_UNSENT_BYTES)
+        super().connection_made(transport)
+        if not self._manager.make_room(self):
+            transport.write(_NO_ROOM)
+            self.force_close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the running request and the timers."""
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+        self._budget.add(-self._held_bytes - self._unsent_bytes)
+        self._held_bytes = self._unsent_bytes = 0
+        if self._manager is not None:
+            self._manager.discard(self)
+        super().connection_lost(exc)
+
+    async def start(self) -> None:
+        """Handle the requests, and abort the connection if its answers stay unread.
+
+        The transport keeps a closed connection until all its data is sent.
+        """
+        transport = self.transport
+        try:
+            await super().start()
+        finally:
+            if transport is not None:
+                self._abort_unless_sent(transport, None)
+
+    def _abort_unless_sent(self, transport: Transport, unsent: int | None) -> None:
+        left = transport.get_write_buffer_size()
+        if unsent is not None and left >= unsent:
+            transport.abort()
+        elif left:
+            self._loop.call_later(
+                self._keepalive_timeout, self._abort_unless_sent, transport, left
+            )
+
+    def resume_writing(self) -> None:
+        """Wake up the sender; the caller has read most of its answers."""
+        super().resume_writing()
+        self._unread_since = None
+        self.count_unsent()
+
+    def count_unsent(self) -> None:
+        """Count the bytes of answers that the caller has not read."""
+        if self.transport is None:
+            return
+        unsent = 0
+        if self._paused:
+            self._unread_bytes = self.transport.get_write_buffer_size()
+            unsent = self._unread_bytes
+            if self._unread_since is None:
+                self._unread_since = self._loop.time()
+        self._budget.add(unsent - self._unsent_bytes)
+        self._unsent_bytes = unsent
+
+    def may_read_ahead(self, size: int) -> bool:
+        """Return whether a part of an answer may be taken from its server now.
+
+        The caller has not read the parts before it yet.
+        """
+        if self.transport is None or not self._budget.max_bytes:
+            return False
+        unsent = self.transport.get_write_buffer_size()
+        return unsent < _MAX_READ_AHEAD_BYTES and self._budget.may_read_ahead(size)
+
+    def count_held(self) -> None:
+        """Count the bytes of requests that are not handled yet."""
+        held = self._meter.head_bytes
+        for message, payload in self._messages:
+            if not isinstance(message, _ErrInfo):
+                held += measure_head(message) + payload.total_bytes
+        self._budget.add(held - self._held_bytes)
+        self._held_bytes = held
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the next read, which all connections share."""
+        size = READ_BYTES
+        if self._meter.has_tiny_chunks:
+            size = _TINY_CHUNKS_READ_BYTES
+        return self._manager.read_buffer[:size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer."""
+        if self._manager is not None:
+            self.data_received(bytes(self._manager.read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data; empty data resumes the parser where it paused."""
+        meter = self._meter
+        if meter.refused:
+            return
+        if data:
+            self._active_at = self._loop.time()
+        if meter.body is not None:
+            meter.body_wire_bytes += len(data)
+        known = self._request_count
+        super().data_received(data)
+        if self._request_count > known:
+            self._begin_requests(self._request_count - known)
+        elif meter.body is not None:
+            self._check_body(meter)
+        elif data:
+            self._add_to_head(meter, data)
+        if not self._awaits_request:
+            self._head_since = None
+        self.count_held()
+        if self._messages and self._budget.exhausted and not self._buffer_paused:
+            # Resumes when the requests that were read are handled.
+            self._pause_reading_for_buffer()
+
+    def _begin_requests(self, count: int) -> None:
+        """Note the requests whose heads were read now."""
+        meter = self._meter
+        if meter.body is not None and not meter.body.is_eof():
+            # Requests follow a body only at its end; this one can't be parsed.
+            fail_body(meter.body, "the body is malformed")
+        self._head_since = None
+        meter.head_bytes, meter.empty = 0, True
+        meter.body, meter.body_wire_bytes = None, 0
+        first = len(self._messages) - count
+        limit = self._manager.max_head_bytes
+        for index in range(first, len(self._messages)):
+            message, payload = self._messages[index]
+            if isinstance(message, _ErrInfo):
+                self._stop_reading()
+                return
+            if measure_head(message) > limit:
+                while len(self._messages) > index:
+                    self._messages.pop()
+                self._refuse_head(limit)
+                return
+        if not payload.is_eof():
+            meter.body = payload
+
+    def _check_body(self, meter: RequestMeter) -> None:
+        if meter.body.is_eof():
+            meter.body = None
+        elif meter.exceeds_overhead:
+            self._log_refusal("body in too small chunks")
+            self._stop_reading()
+            fail_body(meter.body, "the chunks of the body are too small")
+
+    def _add_to_head(self, meter: RequestMeter, data: bytes) -> None:
+        """Count the bytes of a head that is incomplete."""
+        meter.add_to_head(data)
+        limit = self._manager.max_head_bytes
+        if meter.head_bytes > limit:
+            self._refuse_head(limit)
+        elif self._head_since is None and (
+            not meter.empty or meter.head_bytes > _MAX_IDLE_EMPTY_BYTES
+        ):
+            self._head_since = self._active_at
+            if self._head_timer is None:
+                self._start_head_timer(self._manager.head_timeout_s)
+
+    def _refuse_head(self, limit: int) -> None:
+        """Queue a refusal behind the requests that were read."""
+        self._log_refusal("request head too large")
+        error = _HeadTooLargeError(f"a request head has more than {limit} bytes")
+        self._messages.append((_ErrInfo(400, error, str(error)), EMPTY_PAYLOAD))
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+        self._stop_reading()
+
+    def _stop_reading(self) -> None:
+        """Read nothing more; the connection closes after the pending answers."""
+        self._meter.refused = True
+        self._head_since = None
+        self._pause_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._meter.refused:
+            super()._resume_transport_reading()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading if it was paused.
+
+        aiohttp calls this at each read of a piece, and runs the parser each time. With
+        a body in tiny chunks, the parser would copy its unparsed data for each byte.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def _log_refusal(self, reason: str) -> None:
+        caller = str(self.peername[0]) if self.peername else ""
+        log_request_line("caller refused", caller=caller, reason=reason)
+
+    @property
+    def _awaits_request(self) -> bool:
+        """Whether all requests that were read have been answered."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and not self._messages
+
+    @property
+    def draining(self) -> bool:
+        """Whether the connection closes after its last pending answer."""
+        if self._meter.refused:
+            return True
+        return self._manager is not None and self._manager.draining
+
+    @property
+    def has_queued_requests(self) -> bool:
+        """Whether pipelined requests wait behind the current one."""
+        return bool(self._messages)
+
+    @property
+    def idle(self) -> IdleConnection[CallerConnection] | None:
+        """How long the connection is idle; None while a request is handled or waits."""
+        if not self._awaits_request:
+            return None
+        return IdleConnection(self, self._active_at, self._request_count > 0)
+
+    @property
+    def unread(self) -> UnreadConnection[CallerConnection] | None:
+        """What the caller has not read of its answers; None while it reads."""
+        if self._unread_since is None or self.transport is None:
+            return None
+        left = self.transport.get_write_buffer_size()
+        if left < self._unread_bytes:
+            self._unread_since, self._unread_bytes = self._loop.time(), left
+        return UnreadConnection(self, self._unread_since, self._unsent_bytes)
+
+    def close_for_room(self) -> None:
+        """Close an idle connection, or reset one whose answers are not read."""
+        if self._unread_since is None:
+            self.force_close()
+        elif self.transport is not None:
+            self._log_refusal("answers not read")
+            self.transport.abort()
+
+    def close_if_idle(self, idle_s: float) -> None:
+        """Close unless a request is pending or incomplete, or data arrived recently."""
+        idle = self._loop.time() - self._active_at >= idle_s
+        if idle and self._awaits_request and self._head_since is None:
+            self.force_close()
+
+    def _start_head_timer(self, delay_s: float) -> None:
+        self._head_timer = self._loop.call_later(
+            delay_s, self._close_if_head_incomplete
+        )
+
+    def _close_if_head_incomplete(self) -> None:
+        """Close if the head that is read now has taken too long."""
+        self._head_timer = None
+        if self._head_since is None or self._manager is None:
+            return
+        elapsed_s = self._loop.time() - self._head_since
+        left_s = self._manager.head_timeout_s - elapsed_s
+        if left_s <= 0:
+            self.force_close()
+        else:
+            self._start_head_timer(left_s)
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> Any:
+        """Return the response to a request that is unreadable or failed here."""
+        if status >= 500:
+            # Part of an answer may have been written, and it is unknown whether the
+            # operation ran, so the connection is closed without another answer.
+            logger.opt(exception=exc).error("unexpected error in a request handler")
+            response = RawResponse(request)
+            response.abort()
+            return response
+        kind = ErrorKind.BAD_REQUEST
+        text = "the request cannot be read"
+        if isinstance(exc, _HeadTooLargeError):
+            refusal = make_refusal(ErrorKind.TOO_LARGE, str(exc))
+            return ErrorResponse(request, refusal, _HEAD_TOO_LARGE)
+        if isinstance(exc, LineTooLong) or "too many headers" in str(exc).lower():
+            kind, text = ErrorKind.TOO_LARGE, "a header or the path is too long"
+        return ErrorResponse(request, make_refusal(kind, text))
