Ask at the address of a lost server whether its process has ended

While grants were waited out, no order was sent, so a later process at the server's address answered nothing. Such an answer counts only 2.1 s after the takeover, because an earlier leader whose lease was ended early may still grant keys to a new process.

--- a/basilwick/core/ranges/controller.py
+++ b/basilwick/core/ranges/controller.py
@@ -49,6 +49,7 @@
 from basilwick.core.ranges.takeover import (
     bound_grants,
     confirm,
+    end_answered_range,
     end_server_process,
     initialize_takeover,
     reset_restarted_owner,
@@ -218,10 +219,29 @@
         bound_grants(self.table, self._pending.values(), end)
         return True
 
+    def end_server_process(self, server: ServerName, asked_at: float) -> bool:
+        """End waits for a server, in whose place another process answered an order.
+
+        Returns whether they ended; `asked_at` is before the order was sent.
+        """
+        shown = self._shows_end(asked_at)
+        if shown:
+            end_server_process(self.table, server, asked_at)
+        return shown
+
     @property
     def _trusts_evidence(self) -> bool:
         return self.uses_evidence and self._uncertain_until == _NEVER
 
+    def _shows_end(self, asked_at: MonotonicSeconds) -> bool:
+        """Return whether an answer of another process shows the end of a server's.
+
+        An earlier leader that still counts on its lease could grant keys to a process
+        of the server that started after the answer.
+        """
+        lease_end = self.taken_over_at + self.times.lease_s + self.times.delay_margin_s
+        return self._trusts_evidence and asked_at >= lease_end
+
     @property
     def certain(self) -> bool:
         """Whether no unknown leader can have moved any of the ranges."""
@@ -284,8 +304,9 @@
             self._handle_accepted(pending, order.grant_ttl_s, now)
         elif result is OrderResult.CONFLICT:
             self._handle_conflict(key_range, now)
-        elif result is OrderResult.ENDED and self._trusts_evidence:
-            end_server_process(self.table, pending, now)
+        elif result is OrderResult.ENDED and self._shows_end(pending.sent_at):
+            end_answered_range(key_range, now)
+            self.end_server_process(key_range.owner, pending.sent_at)
         else:
             if result is OrderResult.ENDED:
                 result = OrderResult.UNKNOWN
@@ -315,8 +336,9 @@
         if pending is None:
             return
         key_range = pending.key_range
-        if result is OrderResult.ENDED and self._trusts_evidence:
-            end_server_process(self.table, pending, now)
+        if result is OrderResult.ENDED and self._shows_end(pending.sent_at):
+            end_answered_range(key_range, now)
+            self.end_server_process(key_range.owner, pending.sent_at)
             return
         if result is not OrderResult.OK:
             self._handle_failed_order(key_range, result, now)
--- a/basilwick/core/ranges/table.py
+++ b/basilwick/core/ranges/table.py
@@ -255,6 +255,10 @@
             stored.append(entry)
         return stored
 
+    def list_awaited_owners(self) -> dict[ServerName, int]:
+        """Return the servers whose grants are waited out, and a key of each."""
+        return {r.owner: r.first for r in self.ranges if r.phase is Phase.EXPIRING}
+
     def find(self, key: int) -> KeyRange:
         """Return the range that contains a key."""
         return self.ranges[bisect_right(self._first_keys, key) - 1]
--- a/basilwick/core/ranges/takeover.py
+++ b/basilwick/core/ranges/takeover.py
@@ -16,11 +16,12 @@
     from basilwick.core.ranges.orders import OwnershipTimings
     from basilwick.core.ranges.pending import PendingOrder
     from basilwick.core.ranges.table import KeyRange, RangeTable
-    from basilwick.core.types import MonotonicSeconds
+    from basilwick.core.types import MonotonicSeconds, ServerName
 
 __all__ = [
     "bound_grants",
     "confirm",
+    "end_answered_range",
     "end_server_process",
     "initialize_takeover",
     "may_lack_changes",
@@ -106,34 +107,35 @@
 
 
 def end_server_process(
-    table: RangeTable, pending: PendingOrder, now: MonotonicSeconds
+    table: RangeTable, server: ServerName, asked_at: MonotonicSeconds
 ) -> None:
     """End the waits for the grants of a server process that has ended.
 
-    Another process answered at the server's address. A later process of the server can
-    hold only grants of this leader that were sent after that order, because connections
-    end with the process that they reach.
+    Another process answered an order at the server's address. A later process of the
+    server can hold only grants that this leader has sent since then, because
+    connections end with the process that they reach.
 
     Parameters
     ----------
-    pending : PendingOrder
-        Order that another process answered.
+    asked_at : float
+        Local time at or before which the order was sent. No grant was sent since then
+        for ranges that were waiting already.
     """
-    answered = pending.key_range
     for key_range in table.ranges:
-        waits = (
-            key_range.phase is Phase.EXPIRING
-            and key_range.owner == answered.owner
-            and key_range.phase_since <= pending.sent_at
-        )
-        if waits or key_range is answered:
-            key_range.latest_grant_end = key_range.serving_until = float("-inf")
-    answered.fence = 0
-    if answered.phase is Phase.STORING:
+        waits = key_range.phase is Phase.EXPIRING and key_range.owner == server
+        if waits and key_range.phase_since <= asked_at:
+            key_range.latest_grant_end = float("-inf")
+
+
+def end_answered_range(key_range: KeyRange, now: MonotonicSeconds) -> None:
+    """End the wait for the grants of a range whose order another process answered."""
+    key_range.latest_grant_end = key_range.serving_until = float("-inf")
+    key_range.fence = 0
+    if key_range.phase is Phase.STORING:
         # No grant may be sent until the next owner is stored.
-        answered.next_order_at = float("inf")
+        key_range.next_order_at = float("inf")
     else:
-        answered.enter_phase(Phase.EXPIRING, now)
+        key_range.enter_phase(Phase.EXPIRING, now)
 
 
 def confirm(
--- a/basilwick/runtime/fleet/leader_role.py
+++ b/basilwick/runtime/fleet/leader_role.py
@@ -41,9 +41,10 @@
 _SERVICE_CHECK_INTERVAL_S = 0.1
 #: Interval in seconds between decisions about moves that balance the load.
 _REBALANCE_INTERVAL_S = 0.4
-#: Interval in seconds between questions about terms that aren't known to have ended.
-#: It adds to the time for which keys have no owner, which is seconds.
-_TERM_QUERY_INTERVAL_S = 0.1
+#: Interval in seconds between questions about terms and server processes that aren't
+#: known to have ended. It adds to the time for which keys have no owner, which is
+#: seconds.
+_EVIDENCE_INTERVAL_S = 0.1
 
 
 class _LoadRecordingRunner(DispatchRunner):
@@ -154,7 +155,7 @@
                 )
             ),
             asyncio.create_task(
-                run_periodically("terms", _TERM_QUERY_INTERVAL_S, self._query_terms)
+                run_periodically("evidence", _EVIDENCE_INTERVAL_S, self._find_evidence)
             ),
         ]
 
@@ -191,9 +192,10 @@
         for manager in self._range_managers.values():
             manager.record_term_end(writer, "statement")
 
-    async def _query_terms(self) -> None:
+    async def _find_evidence(self) -> None:
         for manager in self._range_managers.values():
             manager.find_ended_terms()
+            manager.find_ended_servers()
 
     def _update_rate_fraction(self) -> None:
         """Leave the part of the servers' rates to instances that are not linked.
--- a/basilwick/runtime/fleet/range_manager.py
+++ b/basilwick/runtime/fleet/range_manager.py
@@ -27,12 +27,9 @@
 from basilwick.core.ranges.takeover import may_lack_changes
 from basilwick.platform.key_value_store import WriteResult
 from basilwick.runtime.fleet.leader_authority import DeposedError
-from basilwick.runtime.fleet.order_messages import (
-    classify_answer,
-    encode_order,
-    has_successor,
-)
+from basilwick.runtime.fleet.order_messages import classify_answer, encode_order
 from basilwick.runtime.fleet.ownership_logs import log_failed_order, log_handover
+from basilwick.runtime.fleet.server_ends import ServerEnds
 from basilwick.runtime.fleet.stored_ranges import (
     StoredRanges,
     decode_ranges,
@@ -46,7 +43,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from basilwick.core.dispatch.site import ServerEntry, SiteView
+    from basilwick.core.dispatch.site import SiteView
     from basilwick.core.ranges.orders import Order, OwnershipTimings
     from basilwick.core.ranges.owner_selector import OwnerSelector
     from basilwick.core.ranges.table import StoredRange
@@ -126,9 +123,15 @@
         self._evidence = evidence or EvidenceSources()
         self.term = self._evidence.own_terms.begin()
         self.uses_evidence = uses_evidence
-        self._takeover_revision = 0
         self.earlier_terms = EarlierTerms(False, float("inf"))
         self._closed = False
+        self._server_ends = ServerEnds(
+            view,
+            client,
+            self._evidence,
+            timings,
+            lambda: not self._closed and authority.has_lease(),
+        )
         #: Term that wrote the ranges before this one, and the era at that time.
         self._former_writer_id = ""
         self._first_era = 0
@@ -172,7 +175,7 @@
         terms = None if outdated else stored.terms
         self.earlier_terms = EarlierTerms.restore(terms, stored.writer, over_at)
         await self._save(stored.ranges)
-        self._takeover_revision = self._revision
+        self._server_ends.takeover_revision = self._revision
         fences = FenceReservation(first_fence, self._reserved_end)
         table = RangeTable.restore(stored.ranges)
         self.controller = RangeController(
@@ -220,6 +223,15 @@
             else:
                 self._evidence.query_term(term)
 
+    def find_ended_servers(self) -> None:
+        """Ask at the addresses of awaited servers where another process may listen."""
+        if not self.uses_evidence or not self._authority.may_move_ranges():
+            return
+        now = self._clock()
+        for server, key in self._server_ends.list_due(self.controller, now):
+            ask = self._server_ends.ask(self.controller, server, key, now)
+            self._start_task(ask)
+
     def record_term_end(self, writer: str, kind: str) -> None:
         """Record that an earlier term has ended, and by which kind of evidence."""
         if not self.earlier_terms.record_end(writer):
@@ -416,7 +428,11 @@
     async def _send_order(self, order: Order, decided_at: MonotonicSeconds) -> None:
         server = self._view.get_server(order.server)
         answer = None
-        replaced = server is not None and self._may_be_replaced(order, server)
+        replaced = (
+            server is not None
+            and self.uses_evidence
+            and self._server_ends.may_be_replaced(order, server)
+        )
         if server is not None:
             answer = await self._call_server(
                 order, server.address, decided_at, replaced
@@ -475,19 +491,6 @@
             answer.body.close()
         return answer
 
-    def _may_be_replaced(self, order: Order, server: ServerEntry) -> bool:
-        """Return whether a later process may have the address of an order's server.
-
-        The registrations must be those after the takeover: an earlier leader may have
-        known the server at another address.
-        """
-        return (
-            self.uses_evidence
-            and not (isinstance(order, GrantOrder) and order.requires_same_process)
-            and self._evidence.get_known_revision() >= self._takeover_revision > 0
-            and has_successor(server, self._view)
-        )
-
     def _may_write(self, order: Order, decided_at: MonotonicSeconds) -> bool:
         """Return whether an order may still be written to its connection."""
         # Later leaders wait this long for the orders of earlier ones, including
--- a/tests/core/ranges/evidence_model.py
+++ b/tests/core/ranges/evidence_model.py
@@ -63,6 +63,7 @@
     answers: list = field(factory=list)
     #: Answers of servers that are on their way.
     late_answers: list = field(factory=list)
+    process_answers: list = field(factory=list)
     #: For each server that has ended, the one that listens at its address.
     occupants: dict[str, str] = field(factory=dict)
     #: Servers that leaders can't reach which begin now.
@@ -253,6 +254,21 @@
         self.ended_servers += in_time
         self.answer(pending, OrderResult.ENDED if in_time else OrderResult.UNKNOWN)
 
+    def ask_for_process(self, leader, name):
+        """Ask at a lost server's address; the answer arrives at once or late."""
+        reaches = name in self.occupants and name not in leader.unreachable_servers
+        if not leader.running or not reaches:
+            return
+        if name in leader.controller.table.list_awaited_owners():
+            self.process_answers.append((leader, name, self.now))
+
+    def answer_process(self, answer):
+        self.process_answers.remove(answer)
+        leader, name, asked_at = answer
+        if leader.running and self.now < asked_at + self.times.order_timeout_s:
+            leader.controller.end_server_process(name, asked_at)
+            self.ended_servers += 1
+
     def advance(self, seconds):
         for pending in list(self.late_answers):
             if self.now + seconds >= pending.sent_at + self.times.order_timeout_s:
--- a/tests/core/ranges/evidence_schedules.py
+++ b/tests/core/ranges/evidence_schedules.py
@@ -116,6 +116,9 @@
         model.move(leader, rng.randrange(BLOCKS), rng.choice([*model.servers]))
     if rng.random() < 0.5:
         model.query_terms(leader)
+    in_lease = model.now < leader.lease_renewed_at + model.times.lease_s
+    if in_lease and not model.is_stopped(leader) and rng.random() < 0.3:
+        model.ask_for_process(leader, rng.choice([*model.servers]))
 
 
 def deliver_messages(model, rng):
@@ -146,6 +149,9 @@
     for pending in list(model.late_answers):
         if pending in model.late_answers and rng.random() < 0.5:
             model.answer_ended(pending)
+    for answer in list(model.process_answers):
+        if rng.random() < 0.5:
+            model.answer_process(answer)
     if model.delayed and rng.random() < 0.2:
         model.apply_delayed(rng.choice(model.delayed))
 
--- a/tests/runtime/fleet/test_term_evidence.py
+++ b/tests/runtime/fleet/test_term_evidence.py
@@ -201,6 +201,8 @@
     await leader._election.withdraw()
     await wait_until(lambda: site.find_leader() not in (None, leader))
     await wait_for_owners(site, 8.0)
+    # An earlier leader may count on its lease for 2 s.
+    await asyncio.sleep(2.2)
     former = next(s for s in site.servers if s.partitioned)
     await former.close()
     await site.add_server("next", "maps", partitioned=True, address=former.address)
@@ -209,3 +211,20 @@
         lambda: former.name not in {r.owner for r in manager.controller.table.ranges},
         2.5,
     )
+
+
+async def test_a_process_that_is_waited_for_is_asked_when_its_address_is_used(site):
+    """The leader sent no more orders, and the grants were waited out to their end."""
+    await site.find_leader()._election.withdraw()
+    await wait_for_owners(site, 8.0)
+    manager = site.find_leader()._role._range_managers["maps"]
+    former = next(s for s in site.servers if s.partitioned)
+    await former.close()
+    await wait_until(
+        lambda: former.name in manager.controller.table.list_awaited_owners()
+    )
+    for key_range in manager.controller.table.ranges:
+        if key_range.owner == former.name:
+            key_range.latest_grant_end = monotonic() + 60.0
+    await site.add_server("next", "maps", partitioned=True, address=former.address)
+    await wait_for_owners(site, 4.0)
