--- a/basilwick/core/ranges/controller.py
+++ b/basilwick/core/ranges/controller.py
@@ -129,8 +129,13 @@
     def find_owner(
         self, service: ServiceName, key: int, now: MonotonicSeconds
     ) -> KeyOwner:
-        """Return the owner of a key, and whether it can be sent requests now."""
-        return describe_owner(self.table.find(key), self.owner_policy, now)
+        """Return the owner of a key, and whether it can be sent requests now.
+
+        At sites that use evidence, a key whose move needs the lease counts as moving
+        only while the leader has it.
+        """
+        can_move = self._holds_lease or not self.uses_evidence
+        return describe_owner(self.table.find(key), self.owner_policy, now, can_move)
 
     def move(self, moves: Sequence[Move], now: MonotonicSeconds) -> list[Move]:
         """Start moves of settled ranges; returns the moves that were started."""
--- a/basilwick/core/ranges/serving.py
+++ b/basilwick/core/ranges/serving.py
@@ -18,12 +18,33 @@
 _SERVING_MARGIN_S = 0.15
 #: Shortest time in seconds after which a range without an owner is asked for again.
 _MIN_WAIT_S = 0.2
+#: Time in seconds after which a range is asked for again whose move can't go on. It
+#: waits for the platform's service, which is usually away for seconds.
+_STALLED_WAIT_S = 1.0
 
 
 def describe_owner(
+    key_range: KeyRange,
+    owner_policy: OwnerPolicy,
+    now: MonotonicSeconds,
+    can_move: bool = True,
+) -> KeyOwner:
+    """Return the owner of a range, or when one is expected to serve it.
+
+    Parameters
+    ----------
+    can_move : bool, default=True
+        Whether moves go on; requests don't wait for one that can't.
+    """
+    key_owner = _describe_present_owner(key_range, owner_policy, now)
+    if key_owner.moving and not can_move:
+        return KeyOwner(None, available_in_s=_STALLED_WAIT_S)
+    return key_owner
+
+
+def _describe_present_owner(
     key_range: KeyRange, owner_policy: OwnerPolicy, now: MonotonicSeconds
 ) -> KeyOwner:
-    """Return the owner of a range, or when one is expected to serve it."""
     if key_range.phase in (Phase.OWNED, Phase.STORING):
         if key_range.owner is not None and not owner_policy.may_own(key_range.owner):
             return KeyOwner(None, moving=True)
