--- a/basilwick/core/dispatch/admission.py
+++ b/basilwick/core/dispatch/admission.py
@@ -51,6 +51,9 @@
 _MAX_PASSED_OVER = 3
 #: Retry-after time in seconds while no server can be reached.
 _UNREACHABLE_RETRY_S = 0.25
+#: Retry-after time in seconds while a whole data centre can't be reached, which usually
+#: lasts for seconds.
+_CUT_OFF_RETRY_S = 1.0
 
 
 @define(eq=False)
@@ -110,6 +113,9 @@
         if now == pending.arrived_at and request.attempt == 1:
             self._shares.record_offered(request.service, request.priority, now)
             pending.returned = self._returns.try_redeem(pending, now)
+        if not self._assigner.selector.can_reach(queue, request, now):
+            reason = "the data centre of the servers can't be reached"
+            return self._assigner.refuse(request, _CUT_OFF_RETRY_S, reason)
         ahead = queue.count_ahead(pending, late=False)
         if not ahead:
             assigned = self._assigner.try_assign(queue, pending, now)
--- a/basilwick/core/dispatch/dispatcher.py
+++ b/basilwick/core/dispatch/dispatcher.py
@@ -11,13 +11,14 @@
 from typing import TYPE_CHECKING
 
 from basilwick.core.dispatch.admission import PriorityAdmission
+from basilwick.core.dispatch.capacity import CapacityShare
 from basilwick.core.dispatch.messages import Refused
 from basilwick.core.dispatch.server_assigner import (
     MIN_RETRY_AFTER_S,
     DispatchDecision,
     ServerAssigner,
 )
-from basilwick.core.dispatch.server_selector import CapacityShare, ServerSelector
+from basilwick.core.dispatch.server_selector import ServerSelector
 from basilwick.core.dispatch.server_statements import LeavingServer
 from basilwick.core.dispatch.service_shares import DEFAULT_PRIORITY_FLOOR
 from basilwick.core.dispatch.target_admission import TargetAdmission
--- a/basilwick/core/dispatch/server_assigner.py
+++ b/basilwick/core/dispatch/server_assigner.py
@@ -134,6 +134,7 @@
         self._discard(pending)
         load = self.selector.get_load(pending.server)
         load.finish(done.outcome, done.latency_s, now, done.load_report)
+        self.selector.record_outcome(pending.request, pending.server, done.outcome, now)
         if done.outcome is SendOutcome.OK:
             service = self.get_service(pending.request.service)
             slot_time_s = now - pending.assigned_at
--- a/basilwick/core/dispatch/server_selector.py
+++ b/basilwick/core/dispatch/server_selector.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define, field, frozen
+from attrs import define, field
 
-from basilwick.core.dispatch.messages import UNLIMITED_RATE
+from basilwick.core.dispatch.capacity import CapacityShare, QueueCapacity
+from basilwick.core.dispatch.messages import UNLIMITED_RATE, SendOutcome
+from basilwick.core.dispatch.reachability import DataCentreReachability
 from basilwick.core.dispatch.server_load import ServerLoad
 
 if TYPE_CHECKING:
@@ -17,8 +19,12 @@
     from basilwick.core.dispatch.wait_queues import WaitQueue
     from basilwick.core.types import MonotonicSeconds, ServerName, ServiceName
 
-__all__ = ["CapacityShare", "QueueCapacity", "ServerSelector"]
+__all__ = ["ServerSelector"]
 
+#: Outcomes that show that a server can be reached.
+_RESPONSES = frozenset(
+    {SendOutcome.OK, SendOutcome.FAILED, SendOutcome.SHED, SendOutcome.MISDIRECTED}
+)
 #: Cost of a byte sent between data centres, in seconds of latency. Traffic between data
 #: centres is paid for, so a large body leaves its own only for a much faster server.
 _CROSS_DATA_CENTRE_S_PER_BYTE = 1e-6
@@ -29,47 +35,6 @@
 _TRIED_COST_FACTOR = 10.0
 
 
-@define
-class CapacityShare:
-    """Part of each server's capacity that a dispatcher may use.
-
-    Attributes
-    ----------
-    slots : int or None
-        Slots that may be used of each server; None for all.
-    rate_fraction : float
-        Fraction that may be used of the rate of each server that is cold or states a
-        rate limit. The fractions of all dispatchers of a site add up to 1 at most.
-    """
-
-    slots: int | None = None
-    rate_fraction: float = 1.0
-
-    @property
-    def coordinated(self) -> bool:
-        """Whether one dispatcher decides for several instances."""
-        return self.slots is None
-
-
-@frozen
-class QueueCapacity:
-    """Capacity of the reachable servers of a queue.
-
-    Attributes
-    ----------
-    slots : int
-        Requests that run concurrently.
-    requests_per_s : float
-        Requests per second, as far as slots, latency and rates allow.
-    rate_limited : bool
-        Whether the rate of a cold server or a stated rate limit reduces it.
-    """
-
-    slots: int
-    requests_per_s: float
-    rate_limited: bool
-
-
 @define
 class _Candidate:
     """A server that may get requests, its load and the slots that may be used of it."""
@@ -107,6 +72,9 @@
     _regions: dict[str, str]
     share: CapacityShare
     _rng: Random
+    reachability: DataCentreReachability = field(
+        init=False, factory=DataCentreReachability
+    )
     _loads: dict[ServerName, ServerLoad] = field(init=False, factory=dict)
     _services: dict[ServiceName, _ServiceCandidates] = field(init=False, factory=dict)
 
@@ -134,7 +102,7 @@
         tried_servers = request.tried_servers if queue.owner is None else ()
         crossing_cost_s = request.size_bytes * _CROSS_DATA_CENTRE_S_PER_BYTE
         by_reports = self._view.has_bulk_routes
-        for candidate in self._list_candidates(queue, request):
+        for candidate in self._list_reachable(queue, request, now):
             server, load, slots = candidate.server, candidate.load, candidate.slots
             if server.name in request.unwanted_servers:
                 continue
@@ -181,7 +149,7 @@
         candidates: list[_Candidate] = []
         weights: list[float] = []
         crossing_cost_s = request.size_bytes * _CROSS_DATA_CENTRE_S_PER_BYTE
-        for candidate in self._list_candidates(queue, request):
+        for candidate in self._list_reachable(queue, request, now):
             server, load = candidate.server, candidate.load
             if server.name in request.unwanted_servers or now < load.blocked_until:
                 continue
@@ -263,6 +231,53 @@
             candidate.load.rate_bucket.take()
         return candidate.server
 
+    def can_reach(
+        self, queue: WaitQueue, request: DispatchRequest, now: MonotonicSeconds
+    ) -> bool:
+        """Return whether a request may be sent to a server of a queue.
+
+        For a key whose owner is in a data centre that is cut off, one request in an
+        interval may, to find out whether it still is.
+        """
+        if queue.owner is None:
+            return bool(self._list_reachable(queue, request, now))
+        owner = self._view.get_server(queue.owner)
+        return owner is None or self.reachability.may_send(
+            request.data_centre, owner.data_centre, now
+        )
+
+    def _list_reachable(
+        self, queue: WaitQueue, request: DispatchRequest, now: MonotonicSeconds
+    ) -> list[_Candidate]:
+        """Return the candidates outside data centres that are cut off.
+
+        An owner is always returned; `can_reach` tells whether it may be sent requests.
+        """
+        candidates = self._list_candidates(queue, request)
+        if queue.owner is not None or not self._view.has_bulk_routes:
+            return candidates
+        cut_off = self.reachability.list_cut_off(request.data_centre, now)
+        if not cut_off:
+            return candidates
+        return [c for c in candidates if c.server.data_centre not in cut_off]
+
+    def record_outcome(
+        self,
+        request: DispatchRequest,
+        name: ServerName,
+        outcome: SendOutcome,
+        now: MonotonicSeconds,
+    ) -> None:
+        """Record whether a server could be reached from the request's data centre."""
+        server = self._view.get_server(name)
+        if server is None or not self._view.has_bulk_routes:
+            return
+        source, target = request.data_centre, server.data_centre
+        if outcome is SendOutcome.UNREACHABLE:
+            self.reachability.record_failure(source, target, name, now)
+        elif outcome in _RESPONSES:
+            self.reachability.record_response(source, target)
+
     def has_wanted_server(self, queue: WaitQueue, request: DispatchRequest) -> bool:
         """Return whether not all servers of a queue are unwanted by a request."""
         if not request.unwanted_servers:
--- a/basilwick/core/dispatch/wait_forecast.py
+++ b/basilwick/core/dispatch/wait_forecast.py
@@ -8,9 +8,9 @@
 from attrs import define, field, frozen
 
 if TYPE_CHECKING:
+    from basilwick.core.dispatch.capacity import QueueCapacity
     from basilwick.core.dispatch.ranked_queue import RankedQueue
     from basilwick.core.dispatch.server_assigner import ServerAssigner
-    from basilwick.core.dispatch.server_selector import QueueCapacity
     from basilwick.core.dispatch.service_shares import ServiceShares
     from basilwick.core.types import MonotonicSeconds, ServiceName
 
--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -14,12 +14,12 @@
     get_max_caller_bytes,
     get_max_connections,
 )
+from basilwick.core.dispatch.capacity import CapacityShare
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.leader_strength import LeaderHandover, Strength
 from basilwick.core.dispatch.load_spread import measure_load_spread
 from basilwick.core.dispatch.messages import Hello
 from basilwick.core.dispatch.retry_window import RetryBudget
-from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import CallerLimits, SiteView
 from basilwick.core.ranges.earlier_terms import OwnTerms, ProcessIdentity
 from basilwick.core.ranges.orders import OwnershipTimings
--- a/benchmarks/stated_loads.py
+++ b/benchmarks/stated_loads.py
@@ -14,6 +14,7 @@
 from attrs import define, field, frozen
 from click import command, echo, option
 
+from basilwick.core.dispatch.capacity import CapacityShare
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.key_owners import KeyOwner
 from basilwick.core.dispatch.load_report import make_load_report
@@ -24,7 +25,6 @@
     SendOutcome,
 )
 from basilwick.core.dispatch.retry_window import RetryBudget
-from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import (
     Route,
     ServerEntry,
--- a/tests/core/dispatch/test_dispatch_rate_limits.py
+++ b/tests/core/dispatch/test_dispatch_rate_limits.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from basilwick.core.dispatch.capacity import CapacityShare
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.instance_window import InstanceWindow
 from basilwick.core.dispatch.key_owners import KeyOwner
@@ -19,7 +20,6 @@
     SendOutcome,
 )
 from basilwick.core.dispatch.retry_window import RetryBudget
-from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import (
     Route,
     ServerEntry,
--- a/tests/core/dispatch/test_stated_loads.py
+++ b/tests/core/dispatch/test_stated_loads.py
@@ -6,13 +6,13 @@
 
 import pytest
 
+from basilwick.core.dispatch.capacity import CapacityShare
 from basilwick.core.dispatch.dispatcher import Dispatcher
 from basilwick.core.dispatch.key_owners import KeyOwner
 from basilwick.core.dispatch.load_report import LoadReport
 from basilwick.core.dispatch.load_spread import measure_load_spread
 from basilwick.core.dispatch.messages import DispatchRequest, SendFinished, SendOutcome
 from basilwick.core.dispatch.retry_window import RetryBudget
-from basilwick.core.dispatch.server_selector import CapacityShare
 from basilwick.core.dispatch.site import (
     Route,
     ServerEntry,
