--- a/basilwick/core/dispatch/admission.py
+++ b/basilwick/core/dispatch/admission.py
@@ -36,13 +36,13 @@
 #: Interval in seconds between checks whether waiting requests can be reached in time.
 _REVIEW_INTERVAL_S = 0.02
 #: Standard deviations by which fewer requests may arrive ahead of a request than
-#: expected, for it to be accepted. What arrives ahead of late requests nearly fills the
-#: servers; with more hope, they would wait until their deadline.
-_ON_TIME_HOPE = 1.0
-_LATE_HOPE = 0.0
+#: expected, for it to be accepted. Late requests get none: on-time ones nearly fill the
+#: servers, so that late ones would wait until their deadline.
+_ON_TIME_DEVIATIONS = 1.0
+_LATE_DEVIATIONS = 0.0
 #: Standard deviations that are added for one that waits already. Forecasts change with
 #: each response, and only what clearly can't be reached should be given up.
-_PATIENCE = 1.0
+_WAITING_DEVIATIONS = 1.0
 #: Part of the latency by which a response may probably miss its target before the
 #: request counts as late.
 _TARGET_TOLERANCE = 0.5
@@ -51,8 +51,7 @@
 _MAX_PASSED_OVER = 3
 #: Retry-after time in seconds while no server can be reached.
 _UNREACHABLE_RETRY_S = 0.25
-#: Retry-after time in seconds while a whole data centre can't be reached, which usually
-#: lasts for seconds.
+#: The same while a whole data centre is cut off, which usually lasts for seconds.
 _CUT_OFF_RETRY_S = 1.0
 
 
@@ -112,7 +111,7 @@
         queue = self._get_queue(request.service, owner)
         if now == pending.arrived_at and request.attempt == 1:
             self._shares.record_offered(request.service, request.priority, now)
-            pending.returned = self._returns.try_redeem(pending, now)
+            pending.returned = self._returns.claim_return(pending, now)
         if not self._assigner.selector.can_reach(queue, request, now):
             reason = "the data centre of the servers can't be reached"
             return self._assigner.refuse(request, _CUT_OFF_RETRY_S, reason)
@@ -244,7 +243,7 @@
             queue.count_ahead(pending, late),
             queue.get_line(priority).count_ahead(pending, late),
             self._measure_competition(queue, priority, late, forecast, now),
-            _LATE_HOPE if late else _ON_TIME_HOPE,
+            _LATE_DEVIATIONS if late else _ON_TIME_DEVIATIONS,
         )
 
     def _measure_competition(
@@ -300,7 +299,11 @@
         for _, pending in list(line.on_time):
             time_left_s = pending.target_at - start_s
             if forecast.is_sent_within(
-                time_left_s, ahead + kept, kept, competition, _ON_TIME_HOPE + _PATIENCE
+                time_left_s,
+                ahead + kept,
+                kept,
+                competition,
+                _ON_TIME_DEVIATIONS + _WAITING_DEVIATIONS,
             ):
                 kept += 1
             else:
@@ -325,7 +328,11 @@
         for _, pending in line.late:
             time_left_s = pending.deadline - now - forecast.latency_s
             if forecast.is_sent_within(
-                time_left_s, ahead + kept, kept, competition, _LATE_HOPE + _PATIENCE
+                time_left_s,
+                ahead + kept,
+                kept,
+                competition,
+                _LATE_DEVIATIONS + _WAITING_DEVIATIONS,
             ):
                 kept += 1
             else:
--- a/basilwick/core/dispatch/return_times.py
+++ b/basilwick/core/dispatch/return_times.py
@@ -92,7 +92,7 @@
         self._expect(pending, wait_s, now)
         return wait_s
 
-    def try_redeem(self, pending: PendingRequest, now: MonotonicSeconds) -> bool:
+    def claim_return(self, pending: PendingRequest, now: MonotonicSeconds) -> bool:
         """Return whether a request is from a caller that returned when it was told."""
         for key in self._list_keys(pending):
             returns = self._returns.get(key, [])
--- a/tests/core/dispatch/test_admission.py
+++ b/tests/core/dispatch/test_admission.py
@@ -205,11 +205,11 @@
     line = queue.get_line(1)
     told_s = returns.choose(make_pending(0, 0.0, 0.7), line, 0.3, 40.0, 0.0)
     early = make_pending(1, 0.15, 0.7)
-    assert not returns.try_redeem(early, 0.15)
+    assert not returns.claim_return(early, 0.15)
     returns.choose(early, line, 0.3, 40.0, 0.15)
     returned, other = (make_pending(n, told_s, 0.7) for n in (2, 3))
-    assert returns.try_redeem(returned, told_s)
-    assert not returns.try_redeem(other, told_s)
+    assert returns.claim_return(returned, told_s)
+    assert not returns.claim_return(other, told_s)
     returned.returned = True
     other.target_at = 0.6
     for pending in (other, returned):
