--- a/basilwick/core/dispatch/admission.py
+++ b/basilwick/core/dispatch/admission.py
@@ -295,15 +295,12 @@
             queue, line.priority, False, forecast, now
         )
         start_s = now + (1.0 - _TARGET_TOLERANCE) * forecast.latency_s
+        deviations = _ON_TIME_DEVIATIONS + _WAITING_DEVIATIONS
         kept = 0
         for _, pending in list(line.on_time):
             time_left_s = pending.target_at - start_s
             if forecast.is_sent_within(
-                time_left_s,
-                ahead + kept,
-                kept,
-                competition,
-                _ON_TIME_DEVIATIONS + _WAITING_DEVIATIONS,
+                time_left_s, ahead + kept, kept, competition, deviations
             ):
                 kept += 1
             else:
@@ -323,16 +320,13 @@
         competition = self._measure_competition(
             queue, line.priority, True, forecast, now
         )
+        deviations = _LATE_DEVIATIONS + _WAITING_DEVIATIONS
         kept = len(line.on_time)
         unreachable = []
         for _, pending in line.late:
             time_left_s = pending.deadline - now - forecast.latency_s
             if forecast.is_sent_within(
-                time_left_s,
-                ahead + kept,
-                kept,
-                competition,
-                _LATE_DEVIATIONS + _WAITING_DEVIATIONS,
+                time_left_s, ahead + kept, kept, competition, deviations
             ):
                 kept += 1
             else:
