Mend what a first reader of the changes stumbled over

Given-up requests no longer count as ahead of others; failures prolong the time until a cut-off data centre is tried again; a caller that reads is seen to read also while its answer goes on being written; a setting that nothing read is gone. Names and comments of the placement use usual terms.

--- a/basilwick/core/deployment.py
+++ b/basilwick/core/deployment.py
@@ -53,8 +53,6 @@
         Memory available to the instance, 0 if not known.
     descriptors : int
         File descriptors available to the instance, 0 if not known.
-    memory_pressure : bool
-        Whether the memory of instances and servers is a limit that callers can reach.
     priority_floor : float
         Share of a service's slots that each priority gets while it has requests, at a
         site with bulk routes.
@@ -75,6 +73,5 @@
     cores: float = 0.0
     memory_bytes: int = 0
     descriptors: int = 0
-    memory_pressure: bool = False
     priority_floor: float = 0.1
     link_mbps: float = 0.0
--- a/basilwick/core/dispatch/admission.py
+++ b/basilwick/core/dispatch/admission.py
@@ -123,7 +123,8 @@
                 self._record_served(queue, request.priority, now)
                 return assigned
         if not self._assigner.selector.has_wanted_server(queue, request):
-            # The jitter must not bring the caller back before the pause ends.
+            # The jitter must not bring the caller back before the pause ends, unless
+            # the pause is longer than any retry-after time.
             wait_s = request.pause_left_s / MIN_JITTER
             reason = "servers want no requests for a while"
             return self._assigner.refuse(request, wait_s, reason)
@@ -273,11 +274,13 @@
             if not line.size:
                 continue
             self._demote_unreachable(queue, line, forecast, ahead, now)
-            given_up += self._find_unreachable(queue, line, forecast, ahead, now)
-            ahead += line.size
+            unreachable = self._find_unreachable(queue, line, forecast, ahead, now)
+            given_up += unreachable
+            ahead += line.size - len(unreachable)
+        first_priority = min((r.priority for r in queue.lines if r.size), default=0)
         for pending in given_up:
             reason = "no server will have room in time"
-            if queue.lines[0].priority < pending.request.priority:
+            if first_priority < pending.request.priority:
                 reason += "; more urgent requests go first"
             self.withdraw(pending)
             yield pending, self._refuse(queue, pending, forecast, reason, now)
--- a/basilwick/core/dispatch/load_report.py
+++ b/basilwick/core/dispatch/load_report.py
@@ -18,9 +18,8 @@
 _MIN_SLOWDOWN_PERCENT = 10
 _MAX_SLOWDOWN_PERCENT = 10_000
 _PERCENT = 100
-#: Time constant in seconds with which a stated figure loses its weight. Requests last
-#: and servers slow down for some tenths of a second, so half a second later the figure
-#: tells little about the moment.
+#: Time constant in seconds with which a stated figure gives way to its long-run mean.
+#: Requests and slow spells last for some tenths of a second.
 _FADE_PERIOD_S = 0.25
 #: Age in seconds up to which a report counts for the number of requests sent at once.
 #: An older one predates all requests that the server holds.
--- a/basilwick/core/dispatch/ranked_queue.py
+++ b/basilwick/core/dispatch/ranked_queue.py
@@ -19,8 +19,8 @@
 
 __all__ = ["PriorityLine", "QueueEntry", "QueuePlace", "RankedQueue"]
 
-#: Time constant in seconds of the rates of a queue. Demand changes by half within some
-#: 17 s, and at 50 requests/s a shorter time would give rates that are off by over 10%.
+#: Time constant in seconds of the rates of a queue. A shorter one makes them noisy, a
+#: longer one late.
 _RATE_PERIOD_S = 1.0
 #: Requests per second below which the rates of a queue needn't be remembered.
 _IDLE_RATE = 0.1
--- a/basilwick/core/dispatch/reachability.py
+++ b/basilwick/core/dispatch/reachability.py
@@ -16,7 +16,8 @@
 __all__ = ["DataCentreReachability"]
 
 #: Number of servers that must be unreachable, while none of the others has responded.
-#: That several fail at once by chance is much rarer than a cut.
+#: That several fail at once by chance is much rarer than a cut. A data centre with
+#: fewer servers never counts as cut off.
 _MIN_FAILED_SERVERS = 4
 #: Time in seconds for which a failed connection counts.
 _FAILURE_PERIOD_S = 2.0
@@ -54,7 +55,7 @@
         path = self._paths.setdefault((source, target), _Path())
         path.failed_at[server] = now
         recent = [at for at in path.failed_at.values() if at > now - _FAILURE_PERIOD_S]
-        if not path.cut and len(recent) >= _MIN_FAILED_SERVERS:
+        if path.cut or len(recent) >= _MIN_FAILED_SERVERS:
             path.cut = True
             path.probe_at = now + _PROBE_INTERVAL_S
 
@@ -77,7 +78,7 @@
     def list_cut_off(
         self, source: DataCentreName, now: MonotonicSeconds
     ) -> list[DataCentreName]:
-        """Return the data centres to which no request may be sent now."""
+        """Return the data centres that are cut off and whose next probe is not due."""
         return [
             target
             for (start, target), path in self._paths.items()
--- a/basilwick/core/dispatch/return_times.py
+++ b/basilwick/core/dispatch/return_times.py
@@ -29,8 +29,8 @@
 _DEADLINE_WIDTH_S = 0.05
 #: Time in seconds by which a caller may return too early.
 _EARLY_TOLERANCE_S = 0.02
-#: Time in seconds between the first attempts of callers with the same deadline. A later
-#: one that comes before the time that was told is a repetition.
+#: Refusals with the same deadline within this time in seconds are of different callers;
+#: a later one before the told time repeats an earlier one.
 _SAME_ARRIVAL_S = 0.1
 
 _Key: TypeAlias = "tuple[ServiceName, int, int]"
@@ -93,7 +93,7 @@
         return wait_s
 
     def claim_return(self, pending: PendingRequest, now: MonotonicSeconds) -> bool:
-        """Return whether a request is from a caller that returned when it was told."""
+        """Return whether a request probably is a refused caller's return."""
         for key in self._list_keys(pending):
             returns = self._returns.get(key, [])
             for index, expected in enumerate(returns):
--- a/basilwick/core/dispatch/server_load.py
+++ b/basilwick/core/dispatch/server_load.py
@@ -114,7 +114,7 @@
         return typical_latency_s + weight * (latency_s - typical_latency_s)
 
     def estimate_mean_latency(self, typical_latency_s: float) -> float:
-        """Return the expected latency in seconds of requests of the next seconds."""
+        """Return the latency in seconds to expect at the usual slowdown."""
         latency_s = self.unloaded_latency_s * self.stated.mean_slowdown
         return latency_s or typical_latency_s
 
--- a/basilwick/core/dispatch/service_order.py
+++ b/basilwick/core/dispatch/service_order.py
@@ -32,7 +32,7 @@
         urgent on-time one only if its deadline would pass otherwise.
         """
         for queue in queues:
-            due = self._shares.find_due(queue, now)
+            due = self._shares.find_line_below_floor(queue, now)
             if due is not None:
                 return queue, due.get_first()[1]
         on_time = [
--- a/basilwick/core/dispatch/service_shares.py
+++ b/basilwick/core/dispatch/service_shares.py
@@ -117,7 +117,7 @@
         """Return whether the floor of a priority is in use or about to be."""
         return priority in self._get_entitled(service, now).near_floor
 
-    def find_due(
+    def find_line_below_floor(
         self, queue: RankedQueue, now: MonotonicSeconds
     ) -> PriorityLine | None:
         """Return the waiting priority of a queue that is below its floor, if any."""
--- a/basilwick/core/ranges/demand_plan.py
+++ b/basilwick/core/ranges/demand_plan.py
@@ -16,14 +16,15 @@
 
 __all__ = ["DemandPlan", "PlannedServer", "PlannedSpan"]
 
-#: Ranges from which those with little load are joined to a neighbour: so many for each
-#: server, but no more than a leader on one core can renew, unless each server then had
-#: fewer than the least number.
+#: Ranges per server above which those with little load are joined to a neighbour.
 _RANGES_PER_SERVER = 5.0
-_RENEWABLE_RANGES = 500
+#: Upper bound of that number for a service, as the leader renews each range.
+_MAX_RANGES = 500
+#: Ranges per server that are allowed even beyond the upper bound.
 _MIN_RANGES_PER_SERVER = 2.5
-#: Moves of one plan for each server, and at least.
+#: Moves of one plan per server.
 _MOVES_PER_SERVER = 0.5
+#: Moves that a plan may have in any case.
 _MIN_MOVES = 6
 
 
@@ -37,14 +38,14 @@
         Requests per second at full utilization.
     load : float
         Requests per second of its keys after the planned moves.
-    filling_key : int or None
+    dominant_key : int or None
         Key for which the server is kept free.
     """
 
     name: ServerName
     capacity: float
     load: float = 0.0
-    filling_key: int | None = None
+    dominant_key: int | None = None
     spans: list[PlannedSpan] = field(factory=list)
 
     @property
@@ -80,7 +81,7 @@
     def wanted_ranges(self) -> float:
         """Number of ranges from which ranges are joined."""
         count = len(self.servers)
-        most = max(_RENEWABLE_RANGES, _MIN_RANGES_PER_SERVER * count)
+        most = max(_MAX_RANGES, _MIN_RANGES_PER_SERVER * count)
         return min(most, _RANGES_PER_SERVER * count)
 
     @property
--- a/basilwick/core/ranges/earlier_terms.py
+++ b/basilwick/core/ranges/earlier_terms.py
@@ -160,7 +160,10 @@
         self._remaining.clear()
 
     def expire(self, now: MonotonicSeconds) -> bool:
-        """Drop the terms whose grants have ended; returns whether there was any."""
+        """Drop the terms whose grants have ended.
+
+        Returns whether the list became complete by it.
+        """
         if now < self.over_at or self.all_ended:
             return False
         self.complete = True
--- a/basilwick/core/ranges/range_joins.py
+++ b/basilwick/core/ranges/range_joins.py
@@ -70,7 +70,7 @@
         span = spans[join.index]
         source = plan.servers[span.owner]
         target = plan.servers.get(spans[join.neighbour].owner)
-        if target is None or target.filling_key is not None:
+        if target is None or target.dominant_key is not None:
             continue
         after = (target.load + join.rate) / target.capacity
         if touched & {join.index, join.neighbour} or after > max_utilization:
--- a/basilwick/core/ranges/uneven_demand.py
+++ b/basilwick/core/ranges/uneven_demand.py
@@ -34,21 +34,22 @@
 _SIGNIFICANCE_SIGMAS = 1.5
 #: Share of further requests that a server at full utilization can't serve in time.
 _LOSS_AT_CAPACITY = 0.5
-#: Requests that a move of all keys costs, and the time in seconds for which a busy key
-#: stays busy. Their quotient is the rate of gained requests that makes up for the move.
+#: Requests that are lost while all keys move, a part of the keys costing in proportion,
+#: and the time in seconds for which the gain of a move lasts.
 _FULL_MOVE_COST_REQUESTS = 95.0
 _LOAD_DURATION_S = 3.0
 #: Requests per second that a further range must gain, for the work of its renewals.
-_RANGE_COST = 0.05
+_RANGE_COST_PER_S = 0.05
 #: A plan cuts only single keys out of ranges if it has more ranges than wanted by this
 #: factor.
 _EXCESS_RANGES_FACTOR = 1.2
-#: A key fills a server if it needs this share of it.
-_FILLING_SHARE = 0.5
-#: A key that fills a server moves to one that is faster by this factor, if its own
-#: would have a higher utilization than this.
-_FASTER = 1.3
-_COMFORTABLE_UTILIZATION = 0.5
+#: Share of a server's capacity from which one key counts as dominant. Such a key gets a
+#: server of its own.
+_DOMINANT_SHARE = 0.5
+#: Ratio of capacities from which a dominant key moves to a faster server, and the
+#: utilization by that key alone up to which it stays where it is.
+_MIN_SPEEDUP = 1.3
+_MAX_KEPT_UTILIZATION = 0.5
 
 
 def find_excess_keys(
@@ -107,7 +108,7 @@
             keys = list_between(rates, span.first, span.last)
             server.spans.append(PlannedSpan(span.first, span.last, keys))
             server.load += sum(rate for _, rate in keys)
-    _place_filling_keys(plan)
+    _place_dominant_keys(plan)
     mean = _compute_mean_utilization(plan)
     _relieve_servers(plan, mean)
     if plan.range_count > plan.wanted_ranges:
@@ -115,38 +116,38 @@
     return plan.moves
 
 
-def _place_filling_keys(plan: DemandPlan) -> None:
+def _place_dominant_keys(plan: DemandPlan) -> None:
     """Give each key that fills a server one of its own, the busiest the fastest."""
     typical = sorted(s.capacity for s in plan.servers.values())
-    least_rate = _FILLING_SHARE * typical[len(typical) // 2]
-    filling = [
+    least_rate = _DOMINANT_SHARE * typical[len(typical) // 2]
+    dominant = [
         (rate, key, server, span)
         for server in plan.servers.values()
         for span in server.spans
         for key, rate in span.keys
-        if rate >= least_rate or rate >= _FILLING_SHARE * server.capacity
+        if rate >= least_rate or rate >= _DOMINANT_SHARE * server.capacity
     ]
-    filling.sort(key=lambda entry: entry[:2], reverse=True)
-    for rate, key, server, _ in filling:
-        free = [s for s in plan.servers.values() if s.filling_key is None]
-        stays = server.filling_key is None
+    dominant.sort(key=lambda entry: entry[:2], reverse=True)
+    for rate, key, server, _ in dominant:
+        free = [s for s in plan.servers.values() if s.dominant_key is None]
+        stays = server.dominant_key is None
         utilization = rate / server.capacity
-        if not free or (stays and utilization <= _COMFORTABLE_UTILIZATION):
+        if not free or (stays and utilization <= _MAX_KEPT_UTILIZATION):
             if stays:
-                server.filling_key = key
+                server.dominant_key = key
             continue
         # The other keys of the target have to leave, which counts half as much.
         target = min(free, key=lambda s: (rate + 0.5 * s.load) / s.capacity)
         gains = rate / target.capacity < server.utilization
         if stays:
-            gains = target.capacity >= _FASTER * server.capacity
+            gains = target.capacity >= _MIN_SPEEDUP * server.capacity
         if target is server or not gains or plan.full:
             if stays:
-                server.filling_key = key
+                server.dominant_key = key
             continue
         span = next(s for s in server.spans if s.first <= key <= s.last)
         plan.move(server, span, key, key, target)
-        target.filling_key = key
+        target.dominant_key = key
 
 
 def _compute_mean_utilization(plan: DemandPlan) -> float:
@@ -154,7 +155,7 @@
 
     Servers that are filled by a key that can't be divided are left out.
     """
-    servers = [s for s in plan.servers.values() if s.filling_key is None]
+    servers = [s for s in plan.servers.values() if s.dominant_key is None]
     capacity = sum(s.capacity for s in servers)
     return sum(s.load for s in servers) / capacity if capacity else 1.0
 
@@ -176,7 +177,7 @@
     The receiver is filled to the mean at most, or to halfway between the two.
     """
     receivers = [
-        s for s in plan.servers.values() if s is not donor and s.filling_key is None
+        s for s in plan.servers.values() if s is not donor and s.dominant_key is None
     ]
     if not receivers:
         return False
@@ -188,13 +189,13 @@
     even = gap / (1.0 / donor.capacity + 1.0 / receiver.capacity)
     spare = (mean - receiver.utilization) * receiver.capacity
     max_rate = min(even, max(spare, 0.5 * even))
-    if donor.filling_key is not None:
+    if donor.dominant_key is not None:
         max_rate = max(max_rate, spare)
     gain = _estimate_loss(donor.utilization - 0.5 * max_rate / donor.capacity)
     gain -= _estimate_loss(receiver.utilization + 0.5 * max_rate / receiver.capacity)
     best = None
     for span in donor.spans:
-        found = _find_best_part(plan, span, max_rate, gain, donor.filling_key)
+        found = _find_best_part(plan, span, max_rate, gain, donor.dominant_key)
         if found is not None and (best is None or found[0] > best[0]):
             best = *found, span
     if best is None:
@@ -242,7 +243,7 @@
                 if cuts and not may_cut and last - first > 0:
                     continue
                 benefit = gain * total - key_cost * (last - first + 1)
-                benefit -= _RANGE_COST * cuts
+                benefit -= _RANGE_COST_PER_S * cuts
                 if benefit > 0.0 and (best is None or benefit > best[0]):
                     best = benefit, first, last
     return best
--- a/basilwick/platform/deployment.py
+++ b/basilwick/platform/deployment.py
@@ -49,8 +49,6 @@
 
 _MS = 0.001
 _MIB = 1 << 20
-#: Contract of sites on which memory is a limit that callers can reach.
-_PRESSURE = "pressure"
 #: Largest floor of a priority. With four priorities, the floors of the less urgent ones
 #: then leave a quarter of the slots to the most urgent one.
 _MAX_PRIORITY_FLOOR = 0.25
@@ -91,7 +89,6 @@
         _read_cpu_cores(reader),
         round(reader.get_number("localNode.limits.memoryMb", 0.0) * _MIB),
         round(reader.get_number("localNode.limits.fileDescriptors", 0.0)),
-        _PRESSURE in reader.get("terms.contracts", (list, dict, str), []),
         priority_floor=_read_priority_floor(reader),
         link_mbps=reader.get_number("localNode.limits.linkMbps", 0.0),
     )
--- a/basilwick/transport/body_sender.py
+++ b/basilwick/transport/body_sender.py
@@ -125,6 +125,7 @@
         transport = self._request.transport
         if transport is None:
             raise ConnectionResetError("the caller closed the connection")
+        self._request.protocol.note_progress()
         transport.write(chunk)
 
     async def _wait_until_writable(self) -> bool:
--- a/basilwick/transport/caller_connection.py
+++ b/basilwick/transport/caller_connection.py
@@ -68,11 +68,11 @@
     __slots__ = (
         "_active_at",
         "_budget",
+        "_buffered_bytes",
         "_head_since",
         "_head_timer",
         "_held_bytes",
         "_meter",
-        "_unread_bytes",
         "_unread_since",
         "_unsent_bytes",
     )
@@ -85,7 +85,7 @@
         #: Time since which the caller has read nothing of a full write buffer, None
         #: while it is not full, and the size of the buffer then.
         self._unread_since: float | None = None
-        self._unread_bytes = 0
+        self._buffered_bytes = 0
         self._max_msg_queue_size = _MAX_QUEUED_REQUESTS
         self._msg_queue_resume_size = _MAX_QUEUED_REQUESTS // 2
         # aiohttp gives no access to the number of requests that its parser reads ahead.
@@ -162,8 +162,8 @@
             return
         unsent = 0
         if self._paused:
-            self._unread_bytes = self.transport.get_write_buffer_size()
-            unsent = self._unread_bytes
+            self._buffered_bytes = self.transport.get_write_buffer_size()
+            unsent = self._buffered_bytes
             if self._unread_since is None:
                 self._unread_since = self._loop.time()
         self._budget.add(unsent - self._unsent_bytes)
@@ -327,14 +327,19 @@
             return None
         return IdleConnection(self, self._active_at, self._request_count > 0)
 
-    @property
-    def unread(self) -> UnreadConnection[CallerConnection] | None:
-        """What the caller has not read of its answers; None while it reads."""
+    def note_progress(self) -> None:
+        """Restart the unread time if the caller has read since the last write."""
         if self._unread_since is None or self.transport is None:
-            return None
+            return
         left = self.transport.get_write_buffer_size()
-        if left < self._unread_bytes:
-            self._unread_since, self._unread_bytes = self._loop.time(), left
+        if left < self._buffered_bytes:
+            self._unread_since, self._buffered_bytes = self._loop.time(), left
+
+    def get_unread(self) -> UnreadConnection[CallerConnection] | None:
+        """Return what the caller has not read of its answers, None while it reads."""
+        self.note_progress()
+        if self._unread_since is None or self.transport is None:
+            return None
         return UnreadConnection(self, self._unread_since, self._unsent_bytes)
 
     def close_for_room(self) -> None:
--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -128,7 +128,7 @@
             victim.close_for_room()
 
     def _list_unread(self) -> list[UnreadConnection[CallerConnection]]:
-        return [item for one in self._open if (item := one.unread) is not None]
+        return [item for one in self._open if (item := one.get_unread()) is not None]
 
     def set_idle_timeout(self, seconds: float) -> None:
         self._kwargs["keepalive_timeout"] = seconds
--- a/basilwick/transport/raw_response.py
+++ b/basilwick/transport/raw_response.py
@@ -68,14 +68,13 @@
         self._request = request
         self._extra_fields = extra_fields
         self.keep_alive = keep_alive and request.keep_alive
-        #: Whether the answer has neither a length nor chunks, as for HTTP/1.0.
+        #: Whether the answer ends with its connection, because it has neither a length
+        #: nor chunks, as for HTTP/1.0.
         self._ends_with_connection = False
         self.started = False
         self.status = 0
         self.body_length = 0
         self.failure = ""
-        #: Whether the answer ends with its connection.
-        self._ends_with_connection = False
 
     async def prepare(self, request: BaseRequest) -> None:
         """Do nothing; `send` has written the answer."""
