Set the backlog on the listening socket itself

Callers' new connections were refused or stayed unanswered for a second: the kernel's backlog was 4, the number of connections that are accepted in a turn, because it was raised on a duplicate of the socket, which does not work everywhere.

--- a/basilwick/transport/http_server.py
+++ b/basilwick/transport/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from socket import AF_INET, AF_INET6, create_server
 from typing import TYPE_CHECKING, Any
 
 from aiohttp.web import RequestHandler, Server
@@ -205,12 +206,13 @@
             max_headers=_MAX_FIELDS,
         )
         self._connection_handlers.max_head_bytes = self._max_head_bytes
+        family = AF_INET6 if ":" in self._host else AF_INET
+        sock = create_server((self._host, self._port), family=family)
         self._server = await loop.create_server(
-            self._connection_handlers,
-            self._host,
-            self._port,
-            backlog=_ACCEPTS_PER_TURN,
+            self._connection_handlers, sock=sock, backlog=_ACCEPTS_PER_TURN
         )
+        # asyncio also accepts as many connections in a turn as may wait.
+        sock.listen(_BACKLOG)
         self._port = self._server.sockets[0].getsockname()[1]
         for listening in self._server.sockets:
             with listening.dup() as sock:
