--- a/basilwick/runtime/fleet/fleet_instance.py
+++ b/basilwick/runtime/fleet/fleet_instance.py
@@ -347,9 +347,12 @@
     async def _hand_over_to_stronger(self, now: float) -> None:
         """Resign if an instance on a much stronger machine can lead instead.
 
-        A successor writes its record to the key-value service, which must answer.
+        A successor writes its record to the key-value service, which must answer. Only
+        sites with bulk routes hand over: elsewhere a new leader waits for the grants of
+        lost servers anew, which costs callers more than a weak leader.
         """
         leads = self._role is not None and self._role.can_hand_over
+        leads = leads and self._view.has_bulk_routes
         linked = self._listener.list_strengths() if leads else {}
         successor = self._handover.choose_successor(linked, now)
         if successor is None:
