--- a/review/rig.py
+++ b/review/rig.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 import tempfile
 from itertools import count
@@ -38,6 +39,10 @@
 HEARTBEAT_S = 0.87
 #: Pause in seconds before the platform starts a process again that has ended.
 RESTART_DELAY_S = 0.5
+#: Blocks of ports from which the instances of a script get one.
+_FIRST_PORT = 10_000
+_PORTS_PER_BLOCK = 8
+_PORT_BLOCKS = 2_500
 
 _BOUNDS = {
     "stabilityWindowMs": 3000,
@@ -52,6 +57,18 @@
 }
 
 
+def _are_free(host: str, first: int) -> bool:
+    """Return whether nothing listens on a block of ports of an address."""
+    for port in range(first, first + _PORTS_PER_BLOCK):
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
@@ -332,6 +349,20 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._logs: dict[str, object] = {}
         self.ids = count(1)
+        self._first_port = self._find_free_ports()
+
+    def _find_free_ports(self) -> int:
+        """Return the first of the ports that all instances use at their addresses.
+
+        They are below those of outgoing connections.
+        """
+        first = os.getpid() % _PORT_BLOCKS
+        for number in range(_PORT_BLOCKS):
+            block = (first + number) % _PORT_BLOCKS
+            port = _FIRST_PORT + block * _PORTS_PER_BLOCK
+            if all(_are_free(self.instance_host(i), port) for i in range(3)):
+                return port
+        raise OSError("no free ports")
 
     async def start_store(self) -> None:
         """Start the key-value service."""
@@ -351,7 +382,7 @@
         return f"{self.instance_host(index)}:{self._port(0)}"
 
     def _port(self, offset: int) -> int:
-        return 20000 + os.getpid() % 4000 * 8 + offset
+        return self._first_port + offset
 
     def _write_settings(self, index: int) -> Path:
         host = self.instance_host(index)
