End the review's scripts cleanly and tell what could not run

A script that was stopped early left its instances; it ends them now, and removes its temporary folder. The stand-in servers turn away what they can't queue and requests without an identifier, and answer their health path. Each case names its record.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,7 @@
 
 from rig import HOST, TROUBLE, Rig, Server, run
 
-FOLDER = Path(__file__).resolve().parent
+RECORD = Path(__file__).resolve().parent / "record.txt"
 
 #: Largest response of the deployment's downloads, and their time budget in seconds.
 RESPONSE_BYTES = 540_000
@@ -120,7 +120,7 @@
 
 
 async def main() -> int:
-    rig = Rig(FOLDER, memory_mb=440)
+    rig = Rig(RECORD, memory_mb=440)
     try:
         await rig.start_store()
         servers = []
--- a/review/rig.py
+++ b/review/rig.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import os
+import resource
+import shutil
 import signal
 import socket
 import sys
@@ -37,6 +39,10 @@
 #: False for the run without the disruption.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 0.87
+#: Requests that wait at a server for a slot.
+MAX_WAITING = 8
+#: Descriptors of a machine of the deployments.
+DESCRIPTORS = 4_100
 #: Pause in seconds before the platform starts a process again that has ended.
 RESTART_DELAY_S = 0.5
 #: Blocks of ports from which the instances of a script get one.
@@ -72,9 +78,9 @@
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, path: Path):
         self._began_at = monotonic()
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8")
 
     def write(self, text: str) -> None:
         """Write a line with the seconds since the start."""
@@ -96,7 +102,7 @@
     def __init__(self, rig, name, service, zone, work_s=0.06, slots=4, sharded=False):
         self.rig, self.name, self.service, self.zone = rig, name, service, zone
         self.work_s, self.slots, self.sharded = work_s, slots, sharded
-        self.running = 0
+        self.running = self.waiting = 0
         self.address = ""
         self.born = 0
         self.sequence = 0
@@ -124,8 +130,10 @@
 
     async def close(self) -> None:
         """Stop listening."""
-        self._beat.cancel()
-        self._listener.close()
+        if self._beat is not None:
+            self._beat.cancel()
+        if self._listener is not None:
+            self._listener.close()
 
     async def register(self) -> None:
         """Write the registration."""
@@ -184,6 +192,8 @@
         request_id = fields.get("x-request-id", "")
         if expected != self.name:
             await self.write(writer, 421, request_id, b"", "X-Not-Executed: 1\r\n")
+        elif target == "/health":
+            await self.write(writer, 200, "", b"", f"X-Instance-Id: {self.name}\r\n")
         elif target == "/grant":
             await self._grant(writer, loads(body))
         elif target == "/release":
@@ -228,16 +238,25 @@
         if self.sharded and not self.holds_key(int(fields.get("x-shard-key", -1))):
             await self.write(writer, 421, request_id, b"", "X-Not-Executed: 1\r\n")
             return True
-        async with self._free:
-            self.running += 1
-            self._idle.clear()
-            self.runs.append((request_id, method, target, body))
-            try:
-                await asyncio.sleep(self.work_s)
-            finally:
-                self.running -= 1
-                if not self.running:
-                    self._idle.set()
+        if not request_id or self.waiting >= MAX_WAITING:
+            status = 503 if request_id else 400
+            await self.write(writer, status, request_id, b"", "X-Not-Executed: 1\r\n")
+            return True
+        self.waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        self._idle.clear()
+        self.runs.append((request_id, method, target, body))
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self._free.release()
+            self.running -= 1
+            if not self.running:
+                self._idle.set()
         return await self.respond(writer, request_id)
 
     async def respond(self, writer, request_id: str) -> bool:
@@ -253,7 +272,9 @@
         """Write an answer; by default signed, with the load."""
         if extra is None:
             extra = f"X-Response-Signature: {self.name}\r\n"
-            extra += f"X-Server-Load: {self.running},0,{self.slots},100\r\n"
+            extra += (
+                f"X-Server-Load: {self.running},{self.waiting},{self.slots},100\r\n"
+            )
         if request_id:
             extra += f"X-Request-Id: {request_id}\r\n"
         head = f"HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
@@ -339,8 +360,8 @@
 
     server_host = "127.0.9.1"
 
-    def __init__(self, folder: Path, zones=("a", "b", "c"), memory_mb=300):
-        self.record = Record(folder)
+    def __init__(self, record: Path, zones=("a", "b", "c"), memory_mb=300):
+        self.record = Record(record)
         self.zones, self.memory_mb = zones, memory_mb
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = KvService("127.0.9.9:0")
@@ -419,15 +440,23 @@
             "BASILWICK_SETTINGS": str(settings),
         }
         log = (self.folder / f"instance-{index}.log").open("ab")
-        process = await asyncio.create_subprocess_exec(
-            *("python3", "-m", "basilwick", "join"),
-            cwd=ROOT,
-            env=environment,
-            stdout=log,
-            stderr=log,
+        starting = asyncio.create_task(
+            asyncio.create_subprocess_exec(
+                *("python3", "-m", "basilwick", "join"),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
         )
-        log.close()
-        self.processes[index] = process
+        try:
+            self.processes[index] = await asyncio.shield(starting)
+        except asyncio.CancelledError:
+            # The process is known before the script ends.
+            self.processes[index] = await starting
+            raise
+        finally:
+            log.close()
 
     async def wait_ready(self, indexes, timeout_s=20.0) -> bool:
         """Wait until instances say that they are ready."""
@@ -510,6 +539,7 @@
                 process.kill()
         for process in self.processes.values():
             await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
         for server in self.servers:
             await server.close()
         await self.store.close()
@@ -556,12 +586,23 @@
     """
 
     async def run_limited() -> int:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # The processes of the script end with it, also if it is stopped early.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(time_limit_s):
             return await main()
 
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and hard < DESCRIPTORS:
+        print(f"the case needs {DESCRIPTORS} descriptors, {hard} are allowed")
+        sys.exit(2)
+    if soft != resource.RLIM_INFINITY and soft < DESCRIPTORS:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
     try:
         code = asyncio.run(run_limited())
-    except Exception as error:  # any failure of the script itself
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", flush=True)
         code = 2
     sys.exit(code)
