Show that a target with an invalid host name takes a connection for good

Only an invalid international host name (xn--) leaves its connection without an answer and open. A request that cannot be built ends the connection's task; the connection then counts as busy, so that neither the idle timeout nor a lack of room closes it.

--- a/review/rig3.py
+++ b/review/rig3.py
@@ -267,7 +267,8 @@
 class Instance:
     """One process of the role ``router``."""
 
-    def __init__(self, site, number: int):
+    def __init__(self, site, number: int, descriptors: int = 4100):
+        self.descriptors = descriptors
         self.name = f"frontend-zone-a-{number}"
         self._site = site
         base = free_ports(20)
@@ -283,7 +284,8 @@
             'role = "router"\nmachineClass = "frontend"\nserves = ["frontend"]\n'
             f'ipAddress = "{ip}"\nzone = "zone-a"\nregion = "region-a"\n'
             "inTolerance = true\nbootstrap = true\n[localNode.limits]\n"
-            "cpuShare = 0.86\ncpuCores = 1\nmemoryMb = 300\nfileDescriptors = 4100\n"
+            "cpuShare = 0.86\ncpuCores = 1\nmemoryMb = 300\n"
+            f"fileDescriptors = {self.descriptors}\n"
             "linkMbps = 1000.0\ndiskMb = 0\n[network]\n"
             f"internalPortRange = [{self.internal},{self.internal + 15}]\nseeds = []\n"
             "[network.listenAddresses]\n"
@@ -435,9 +437,9 @@
         self.servers.append(server)
         return server
 
-    async def start_instances(self, count: int) -> None:
+    async def start_instances(self, count: int, descriptors: int = 4100) -> None:
         for number in range(1, count + 1):
-            instance = Instance(self, number)
+            instance = Instance(self, number, descriptors)
             self.instances.append(instance)
             await instance.start()
         for instance in self.instances:
