Make the scripts of the cases exit with 2 when they cannot run

Each script checks the build and that the site serves requests in calm, ends its processes when it is stopped, and reports any error of its own as not run.

--- a/review/rig3.py
+++ b/review/rig3.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from itertools import count
 from pathlib import Path
 from random import SystemRandom
 
@@ -31,9 +32,10 @@
 _START_LIMIT_S = 20.0
 _PORTS = (12_000, 30_000)
 _RNG = SystemRandom()
+_NUMBERS = count(1)
 
 
-class CaseNotRun(Exception):
+class CaseNotRunError(Exception):
     """The case could not be set up, or the trouble could not be made."""
 
 
@@ -449,9 +451,22 @@
         end = time.monotonic() + _START_LIMIT_S
         while not await instance.is_ready():
             if time.monotonic() > end or not instance.running:
-                raise CaseNotRun(f"{instance.name} did not become ready")
+                raise CaseNotRunError(f"{instance.name} did not become ready")
             await asyncio.sleep(0.1)
 
+    async def check_served(self, method: str, target: str) -> None:
+        """Wait until each instance serves a request, which the case doesn't judge."""
+        for instance in self.instances:
+            end = time.monotonic() + _START_LIMIT_S
+            while True:
+                request_id = f"calm-{next(_NUMBERS)}"
+                answer = await call(instance.port, method, target, request_id)
+                if answer.status == 200:
+                    break
+                if time.monotonic() > end:
+                    raise CaseNotRunError(f"{instance.name} serves nothing in calm")
+                await asyncio.sleep(0.2)
+
     async def close(self) -> None:
         for instance in self.instances:
             if instance.running:
@@ -470,6 +485,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        # A script that is stopped early ends its processes too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         site = Site(record)
         try:
             async with asyncio.timeout(CASE_LIMIT_S):
@@ -481,7 +499,7 @@
 
     try:
         code = asyncio.run(run())
-    except (CaseNotRun, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         record.write(f"not run: {error!r}")
         code = NOT_RUN
     print(f"exit code {code}")
