--- a/review/rig3.py
+++ b/review/rig3.py
@@ -28,7 +28,7 @@
 #: Exit codes of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 #: Longest time in seconds of a whole case.
-CASE_LIMIT_S = 110.0
+CASE_LIMIT_S = 100.0
 _START_LIMIT_S = 20.0
 _PORTS = (12_000, 30_000)
 _RNG = SystemRandom()
@@ -182,6 +182,12 @@
         if head.get("X-Expected-Instance", self.name) != self.name:
             await read_body(reader, head)
             return await self.respond(writer, request_id, 421, not_run=True)
+        if target == "/health" and method == "GET":
+            identity = f"X-Instance-Id: {self.name}\r\n"
+            return await self.respond(writer, request_id, 200, extra=identity)
+        if not request_id and target not in ("/grant", "/release"):
+            await read_body(reader, head)
+            return await self.respond(writer, "", 400, not_run=True)
         if target in ("/grant", "/release") and method == "POST":
             body = json.loads(await read_body(reader, head))
             return await self._obey(writer, target, body)
@@ -467,6 +473,12 @@
                     raise CaseNotRunError(f"{instance.name} serves nothing in calm")
                 await asyncio.sleep(0.2)
 
+    def check_alive(self) -> None:
+        """Take a process that has ended for a case that couldn't run."""
+        for instance in self.instances:
+            if not instance.running:
+                raise CaseNotRunError(f"{instance.name} has ended")
+
     async def close(self) -> None:
         for instance in self.instances:
             if instance.running:
@@ -479,9 +491,16 @@
         self._folder.cleanup()
 
 
-def run_case(folder: str, case) -> None:
-    """Run a case, a coroutine function (site, trouble) that returns what broke."""
-    record = Record(Path(folder) / "record.txt")
+def run_case(record_path: Path, case) -> None:
+    """Run a case, a coroutine function (site, trouble) that returns what broke.
+
+    What was sent, answered and run is written to the record.
+    """
+    try:
+        record = Record(record_path)
+    except OSError as error:
+        print(f"exit code {NOT_RUN}: {error!r}")
+        sys.exit(NOT_RUN)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
